--- /dev/null
+++ b/src/main/java/rowanmoor/ControlApi.java
@@ -0,0 +1,132 @@
+package rowanmoor;
+
+import java.util.List;
+import java.util.Set;
+
+/** What a {@link Logic} hears, what it may order, and the settings it starts with. Free of any wire. */
+public interface ControlApi {
+
+    /** All proxies at once, in {@link Admit}. */
+    int ALL_TABLES = 65535;
+
+    /** Every peer at once, in {@link Tell}. */
+    long ALL_PEERS = 0xffffffffL;
+
+    /** A backend's address: four bytes and a port, packed big end first. Ordered, and otherwise opaque. */
+    record Backend(long id) implements Comparable<Backend> {
+        @Override
+        public int compareTo(Backend other) {
+            return Long.compareUnsigned(id, other.id);
+        }
+
+        @Override
+        public String toString() {
+            return (id >> 40 & 255) + "." + (id >> 32 & 255) + "." + (id >> 24 & 255) + "." + (id >> 16 & 255)
+                    + ":" + (id & 0xffff);
+        }
+    }
+
+    /** What the list says of a backend. */
+    enum Listed { GONE, READY, DRAINING }
+
+    /** How a {@link Members} event applies to the list held so far. */
+    enum ListKind { DELTA, FULL, CACHED, FAILED }
+
+    /** What a repeat of a class's request does: nothing new, deduplicated within a window, or takes effect again. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** Which backends drop a keyed repeat. */
+    enum Group { ALL, ZONE, CELL }
+
+    /** When a proxy tries a request again. */
+    enum Retry { NEVER, ONCE_UNRUN, ONCE, TWICE }
+
+    /** What a level of {@link Admit} counts. */
+    enum Admission { SHARE, RATE, OFF }
+
+    /** One backend of the list. {@code startedAt} is 0 when that was long ago. */
+    record Member(Backend backend, int zone, int kind, int cell, Listed listed, double weight, long startedAt) { }
+
+    /** What one instance hears. Times are nanoseconds of the instance's own clock. */
+    sealed interface Event { }
+
+    record Members(ListKind kind, long version, List<Member> entries) implements Event { }
+
+    record Timer(long token) implements Event { }
+
+    /** One probe's answer; {@code load} has the values named in the settings, or is empty. */
+    record Probed(Backend backend, boolean ok, int status, long latency, List<Double> load) implements Event { }
+
+    record Told(int from, byte[] data) implements Event { }
+
+    record ProxyJoined(int proxy, int zone, double rate, boolean fresh) implements Event { }
+
+    record ProxyLeft(int proxy) implements Event { }
+
+    /** A proxy has applied the message that carried this mark and all before it. */
+    record Applied(int proxy, int mark, long took) implements Event { }
+
+    /** What the joined proxies of a zone met at a backend. {@code latency} is 0 if no try succeeded. */
+    record Tally(Backend backend, int zone, long tries, long failed, long latency, long span, List<Double> load)
+            implements Event { }
+
+    /** What came to a proxy. {@code failed} were let in and never answered. */
+    record Usage(int proxy, int cls, long requests, long failed, long span) implements Event { }
+
+    record SliceUsage(int slice, int cls, long requests, long failed, long span) implements Event { }
+
+    record SliceGiven(int slice, boolean given) implements Event { }
+
+    record SliceLine(int slice, Backend backend, double weight) implements Event { }
+
+    /** What one instance orders. All orders of one round become one message for each proxy concerned. */
+    sealed interface Action { }
+
+    record Watch(boolean on) implements Action { }
+
+    record Fetch() implements Action { }
+
+    record Probe(Backend backend) implements Action { }
+
+    record Tell(long peer, byte[] data) implements Action { }
+
+    record SetLine(int table, Backend backend, double weight) implements Action { }
+
+    record ClearTable(int table) implements Action { }
+
+    record Withdraw(Backend backend, boolean out) implements Action { }
+
+    /** {@code classes} is a bit set by class number; 0 means all. */
+    record Admit(int table, int classes, double level, Retry retry) implements Action { }
+
+    record Mark(int number, boolean everyProxy) implements Action { }
+
+    record Bind(int proxy, int table, int classes) implements Action { }
+
+    record TimerAt(long time, long token) implements Action { }
+
+    record Log(String text) implements Action { }
+
+    /** One request class. Empty sets of zones or kinds mean that every backend is open to it. */
+    record ClassSpec(long aim, long deadline, double worth, double lateWorth, Effect effect, Group group,
+            long window, boolean write, boolean ownZone, Set<Integer> onlyZones, Set<Integer> onlyKinds) { }
+
+    /** Which figures load reports carry, by place; -1 where the site has no such figure. */
+    record ReportColumns(int inflight, int queue, int busy, int latencyMs, int rate, int failRate) { }
+
+    /** The rules' figures. */
+    record Rules(long bareLimit, long drainGrace, boolean goneIsAdvice, long coldFor, double coldFrom,
+            double fallMultiple, long fallSpan, long askWithin) { }
+
+    /** The channel to the proxies: its limits and its usual pace. */
+    record Channel(double linesPerSecond, double head, double backlog, int messagesMost, long messagesOver,
+            long late, long latest) { }
+
+    /** All that an instance is told at its start. */
+    record Settings(int instances, int rank, int zone, int zones, int kinds, List<ClassSpec> classes,
+            boolean mustAsk, boolean mayProbe, boolean mayTell, boolean warmKeys, boolean weightsListed,
+            Admission admission, Retry usualRetry, double tryAims, int standing, int ejects,
+            int proxies, int slices, boolean exclusive, long period, double hearsPerSecond,
+            double crossZonePrice, double probePrice, double orderPrice,
+            ReportColumns columns, Rules rules, Channel channel) { }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/benchlink/MalformedInput.java
@@ -0,0 +1,11 @@
+package rowanmoor.benchlink;
+
+/** What came in is not the wire; the message is one plain line. */
+public final class MalformedInput extends IllegalArgumentException {
+
+    private static final long serialVersionUID = 1;
+
+    public MalformedInput(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/benchlink/SettingsParser.java
@@ -0,0 +1,170 @@
+package rowanmoor.benchlink;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import rowanmoor.ControlApi.Admission;
+import rowanmoor.ControlApi.Channel;
+import rowanmoor.ControlApi.ClassSpec;
+import rowanmoor.ControlApi.Effect;
+import rowanmoor.ControlApi.Group;
+import rowanmoor.ControlApi.ReportColumns;
+import rowanmoor.ControlApi.Retry;
+import rowanmoor.ControlApi.Rules;
+import rowanmoor.ControlApi.Settings;
+
+/** Turns the path=value lines of an instance's start into {@link Settings}. Keys it does not know are skipped. */
+final class SettingsParser {
+
+    private final Map<String, String> values = new HashMap<>();
+
+    private SettingsParser(String text) {
+        for (String line : text.split("\n")) {
+            int equals = line.indexOf('=');
+            if (equals > 0) {
+                values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
+            }
+        }
+    }
+
+    static Settings parse(String text) {
+        return new SettingsParser(text).settings();
+    }
+
+    private Settings settings() {
+        List<ClassSpec> classes = new ArrayList<>();
+        int count = whole("classes.count");
+        if (count < 1 || count > 16) {
+            throw new MalformedInput("setting classes.count is out of range: " + count);
+        }
+        for (int i = 0; i < count; i++) {
+            classes.add(classSpec(i));
+        }
+        return new Settings(whole("balancers"), whole("rank"), whole("zone"), list("dcs").size(),
+                list("kinds").size(), List.copyOf(classes),
+                word("registry_mode", Map.of("pushed", false, "on_request", true)),
+                flag("limits.probes"), flag("limits.may_tell"), optionalFlag("extra.warm_keys"),
+                !text("weights").equals("off"),
+                word("extra.admission", Map.of("fraction", Admission.SHARE, "per_second", Admission.RATE,
+                        "off", Admission.OFF)),
+                retry(whole("extra.base_mode")), number("extra.try_aims"), whole("extra.bootstrap"),
+                whole("extra.ejects"), whole("extra.proxy_count"), whole("extra.key_ranges"),
+                flag("extra.one_owner"), time("extra.interval_ns"), number("extra.hears_per_s"),
+                number("penalties.cross_zone"), number("penalties.probe"), number("extra.line_fee"),
+                columns(), rules(), channel());
+    }
+
+    private ClassSpec classSpec(int i) {
+        String at = "classes." + i + ".";
+        return new ClassSpec(time(at + "aim_ns"), time(at + "deadline_ns"), number(at + "credit"),
+                number(at + "late_worth"),
+                word(at + "effect", Map.of("retryable", Effect.SAFE, "dedup", Effect.KEYED,
+                        "fragile", Effect.UNSAFE)),
+                word(at + "key_scope", Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL)),
+                time(at + "window_ns"), listFlag("extra.mutating", i), listFlag("extra.home_only", i),
+                places(at + "only_zones"), places(at + "only_kinds"));
+    }
+
+    private ReportColumns columns() {
+        List<String> names = list("report.columns");
+        return new ReportColumns(names.indexOf("rif"), names.indexOf("q"), names.indexOf("busy"),
+                names.indexOf("lat_ms"), names.indexOf("rate"), names.indexOf("fail_rate"));
+    }
+
+    private Rules rules() {
+        return new Rules(time("extra.blackhole_ns"), time("rules.drain_grace_ns"),
+                optionalFlag("rules.gone_is_advice"), time("rules.cold_ns"), number("rules.cold_from"),
+                number("rules.overload_factor"), time("rules.fall_ns"),
+                values.containsKey("rules.must_ask_in_ns") ? time("rules.must_ask_in_ns") : Long.MAX_VALUE);
+    }
+
+    private Channel channel() {
+        return new Channel(number("extra.egress_per_s"), number("extra.per_message"),
+                number("extra.most_waiting"), whole("extra.messages_most"), time("extra.update_window_ns"),
+                time("extra.late_ns"), time("extra.transit_max_ns"));
+    }
+
+    private String text(String key) {
+        String value = values.get(key);
+        if (value == null) {
+            throw new MalformedInput("setting " + key + " is missing");
+        }
+        return value;
+    }
+
+    private double number(String key) {
+        String value = text(key);
+        try {
+            double parsed = Double.parseDouble(value);
+            if (Double.isFinite(parsed)) {
+                return parsed;
+            }
+        } catch (NumberFormatException e) {
+            // reported below, with the key
+        }
+        throw new MalformedInput("setting " + key + " is not a number: " + value);
+    }
+
+    private int whole(String key) {
+        double value = number(key);
+        if (value != Math.rint(value) || Math.abs(value) > Integer.MAX_VALUE) {
+            throw new MalformedInput("setting " + key + " is not a whole number: " + text(key));
+        }
+        return (int) value;
+    }
+
+    private long time(String key) {
+        return Math.round(number(key));
+    }
+
+    private boolean flag(String key) {
+        return word(key, Map.of("true", true, "false", false));
+    }
+
+    private boolean optionalFlag(String key) {
+        return values.containsKey(key) && flag(key);
+    }
+
+    private <T> T word(String key, Map<String, T> words) {
+        T meaning = words.get(text(key));
+        if (meaning == null) {
+            throw new MalformedInput("setting " + key + " has an unknown value: " + text(key));
+        }
+        return meaning;
+    }
+
+    private List<String> list(String key) {
+        String value = text(key);
+        return value.isEmpty() ? List.of() : Arrays.asList(value.split(","));
+    }
+
+    private boolean listFlag(String key, int i) {
+        List<String> flags = list(key);
+        return i < flags.size() && flags.get(i).equals("true");
+    }
+
+    private Set<Integer> places(String key) {
+        Set<Integer> places = new TreeSet<>();
+        for (String value : values.getOrDefault(key, "").split(",")) {
+            if (!value.isEmpty()) {
+                try {
+                    places.add(Integer.valueOf(value));
+                } catch (NumberFormatException e) {
+                    throw new MalformedInput("setting " + key + " is not a list of places: " + value);
+                }
+            }
+        }
+        return places;
+    }
+
+    private static Retry retry(int mode) {
+        if (mode < 0 || mode >= Retry.values().length) {
+            throw new MalformedInput("setting extra.base_mode is out of range: " + mode);
+        }
+        return Retry.values()[mode];
+    }
+}
