--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -3,106 +3,85 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import rowanmoor.ControlApi.Action;
-import rowanmoor.ControlApi.Admission;
-import rowanmoor.ControlApi.Admit;
-import rowanmoor.ControlApi.Applied;
-import rowanmoor.ControlApi.Backend;
-import rowanmoor.ControlApi.Bind;
-import rowanmoor.ControlApi.ClassSpec;
-import rowanmoor.ControlApi.Effect;
-import rowanmoor.ControlApi.Event;
-import rowanmoor.ControlApi.ListKind;
-import rowanmoor.ControlApi.Listed;
-import rowanmoor.ControlApi.Log;
-import rowanmoor.ControlApi.Mark;
-import rowanmoor.ControlApi.Member;
-import rowanmoor.ControlApi.Members;
-import rowanmoor.ControlApi.Probe;
-import rowanmoor.ControlApi.Probed;
-import rowanmoor.ControlApi.ProxyJoined;
-import rowanmoor.ControlApi.ProxyLeft;
-import rowanmoor.ControlApi.Retry;
-import rowanmoor.ControlApi.SetLine;
-import rowanmoor.ControlApi.Settings;
-import rowanmoor.ControlApi.SliceGiven;
-import rowanmoor.ControlApi.SliceLine;
-import rowanmoor.ControlApi.Tally;
-import rowanmoor.ControlApi.TimerAt;
-import rowanmoor.ControlApi.Usage;
-import rowanmoor.ControlApi.Watch;
-import rowanmoor.ControlApi.Withdraw;
+import java.util.function.Predicate;
+import rowanmoor.ControlApi.*;
 
 /**
  * One controller's decisions. All types, events, actions and settings are those of {@link ControlApi}.
- * Sections, in order: members, health and speed, tables, levels and retries, sender. docs/design.md explains.
+ * Sections: members, health and speed, tables, levels, retries, sender. docs/design.md gives the reasons.
  */
 public final class Logic {
 
-    private static final long SECOND = 1_000_000_000L;
-
-    // Health and speed.
+    private static final double SECOND = 1e9;
+    /** The shortest round (the design's pace); where reports come less often, a round is their interval. */
+    private static final long ROUND = 1_000_000_000L;
     /** Weight of a new round in smoothed figures: about three rounds, the design's patience. */
     private static final double SMOOTH = 0.35;
-    /** Tries (smoothed over rounds) below which a path is not judged. */
-    private static final double ENOUGH = 5;
-    /** A path fails if this share of its tries does, and three times what its peers see. */
+    /** Tries over the smoothed span below which nothing is judged. */
+    private static final double ENOUGH = 8;
+    /** A path that fails this share of its tries, and three times what its peers see, is rested. */
     private static final double FAILING = 0.25;
-    /** A path this many times slower than the median path gives up its weight beyond the hand-overs' bounds. */
+    /** A path that fails this share serves nobody: resting it takes no room from the others. */
+    private static final double DEAD = 0.85;
+    /** Most of a zone's listed weight that may rest for partial failures (the panic floor keeps the others). */
+    private static final double REST_MOST = 0.25;
+    /** A path this many times slower than the median one gives up weight beyond the hand-overs' bounds. */
     private static final double OUTLIER = 2.2;
-    /** First rest of a failing path, doubled at each relapse up to eight times. */
-    private static final long REST = 4 * SECOND;
-    /** Part of its weight a path gets on trial. */
+    /** First rest of a failing path, doubled at each relapse, three times at most. */
+    private static final long REST = 4_000_000_000L;
+    /** Part of its weight that a path gets on trial, and its growth a round when the trial goes well. */
     private static final double TRIAL = 0.1;
-    /** Least part of a table's listed weight that stays in use whatever partial failures say. */
-    private static final double PANIC_FLOOR = 0.5;
-    /** Hand-overs: share of a relative load gap closed a round, gap taken for noise, and bounds (the design's). */
+    private static final double TRIAL_GROWTH = 2;
+    /** Hand-overs: part of a load gap closed a round, the gap taken for noise, and the design's bounds. */
     private static final double HAND_OVER = 0.2;
     private static final double NOISE = 0.1;
     private static final double LEAST_CORRECTION = 0.5;
     private static final double MOST_CORRECTION = 2;
-    // Tables.
-    /** Part of a table's weight spread over all zones, so that a proxy out of reach has somewhere to turn. */
+    /** Price of a crossing from which each zone has tables of its own. */
+    private static final double ZONE_TABLE_PRICE = 0.02;
+    /** Part of a table spread over all zones, so that a proxy out of reach has somewhere to turn. */
     private static final double TRICKLE = 0.03;
-    /** Smallest relative change of a line that is worth sending. */
+    /** Least part of an even share that a class open everywhere leaves on each backend. */
+    private static final double LEAST_SHARE = 0.05;
+    /** Smallest relative change of a line, and of a level, that is worth sending. */
     private static final double WORTH_SENDING = 0.1;
-    // Levels (the design's figures).
+    private static final double LEVEL_WORTH_SENDING = 0.03;
+    /** Overload, by the design: failures beyond this share, or answers this many times slower than when quiet. */
     private static final double OVERLOAD_FAILED = 0.05;
     private static final double OVERLOAD_SLOWER = 2;
+    /** The total starts at this part of the served rate and is lowered by it; calm rounds raise it. */
     private static final double HEADROOM = 0.9;
     private static final double RAISE = 1.1;
+    /** The total does not start below this part of a rate that was once served calmly, and rises fast below it. */
+    private static final double PROVEN_PART = 0.6;
+    private static final double FAST_RAISE = 1.3;
+    /** Rounds of overload before the total is lowered again. */
     private static final int PATIENCE = 3;
-    private static final long LEASE = 10 * SECOND;
+    /** Rounds to learn after a start before levels are set. */
+    private static final int LEARN_ROUNDS = 2;
+    /** How long departed proxies count (the design's lease). */
+    private static final long LEASE = 10_000_000_000L;
     /** A level is never below this part of the mean usage, lest a proxy out of reach starve on it. */
     private static final double LEAST_LEVEL = 0.1;
-    /** The level that lets everything in. */
+    /** The total is lifted when it passes the demand this many times. */
+    private static final double LIFT = 1.3;
+    /** The rate that lets everything in. */
     private static final double OPEN_RATE = 1_000_000;
-    // Sender.
-    /** Parts of the channel's backlog and of a proxy's message budget that ordinary orders may fill. */
+    /** Parts of the channel's backlog that ordinary and urgent orders may fill. */
     private static final double ORDINARY_BACKLOG = 0.4;
-    private static final double ORDINARY_MESSAGES = 0.6;
-    /** Part of its usual pace at which the channel is taken to run when no mark tells. */
+    private static final double URGENT_BACKLOG = 0.8;
+    /** Part of its usual pace at which the channel is taken to run while no mark is answered. */
     private static final double SLOW_PACE = 0.2;
+    /** Spare time between messages where their number is limited. */
+    private static final double MESSAGE_SPARE = 1.1;
 
-    /** What is known of one backend. */
-    private static final class BackendState {
-        Member member;
-        double correction = 1;
-        Double busy;
-        Double serviceMs;
-        double quiet;
-        double latency;
-        int overloadedRounds;
-        boolean withdrawn;
-    }
-
-    /** How the joined proxies of one zone fare at one backend. */
+    /** How the joined proxies of one region fare at one backend. */
     private static final class Path {
         double tries;
         double failed;
@@ -111,10 +90,17 @@
         double newFailed;
         double newLatencySum;
         long restUntil;
-        long judgedFrom;
+        long trialFrom;
         int relapses;
         double health = 1;
 
+        void learn() {
+            tries += newTries - SMOOTH * tries;
+            failed += newFailed - SMOOTH * failed;
+            latencySum += newLatencySum - SMOOTH * latencySum;
+            newTries = newFailed = newLatencySum = 0;
+        }
+
         double failing() {
             return tries < ENOUGH ? 0 : failed / tries;
         }
@@ -124,6 +110,51 @@
         }
     }
 
+    /** What is known of one backend; {@code all} sums its paths, one for each region. */
+    private final class BackendState {
+        Member member;
+        Path[] paths = newPaths();
+        Path all = new Path();
+        double correction = 1;
+        double busy;
+        double quiet;
+        boolean withdrawn;
+
+        boolean ready() {
+            return member.listed() == Listed.READY;
+        }
+
+        /** A process that restarted is a new one: what its predecessor met says nothing of it. */
+        void forget() {
+            paths = newPaths();
+            all = new Path();
+            busy = 0;
+        }
+
+        private Path[] newPaths() {
+            Path[] fresh = new Path[regions];
+            Arrays.setAll(fresh, r -> new Path());
+            return fresh;
+        }
+
+        /** The least part of its capacity that it has by now, going by the stated ramp. */
+        double warmth(long now) {
+            double age = member.startedAt() <= 0 ? 1 : (now - member.startedAt()) / (double) settings.rules().coldFor();
+            double from = settings.rules().coldFrom();
+            return Math.min(1, from + (1 - from) * Math.max(0, age));
+        }
+
+        /** What it can do. A cold one is slow with each request as well as short of room: hence the square. */
+        double capacity(long now) {
+            return ready() ? member.weight() * correction * warmth(now) * warmth(now) : 0;
+        }
+
+        /** How loaded it is, on whatever scale the site reports; 0 if unknown. */
+        double load() {
+            return settings.columns().busy() >= 0 ? busy : all.latency();
+        }
+    }
+
     /** One proxy, joined or departed within the lease. */
     private static final class ProxyState {
         int zone;
@@ -131,48 +162,38 @@
         long leftAt;
         double[] usage;
         double[] newUsage;
-        boolean heard;
-        final ArrayDeque<Long> messages = new ArrayDeque<>();
+        int lines;
     }
 
-    private record PathKey(int zone, Backend backend) implements Comparable<PathKey> {
-        @Override
-        public int compareTo(PathKey other) {
-            int byBackend = backend.compareTo(other.backend);
-            return byBackend != 0 ? byBackend : Integer.compare(zone, other.zone);
-        }
-    }
-
-    /** A line of a table that should change: {@code size} is how far it is off. */
+    /** A line that is off by {@code size}, relative to the larger of what is and what should be. */
     private record Change(int table, Backend backend, double weight, double size) { }
 
     private record SentMark(int number, double linesBefore) { }
 
     private final Settings settings;
     private final Random random;
+    private final int regions;
     private final List<List<Integer>> groups = new ArrayList<>();
     private final TreeMap<Backend, BackendState> backends = new TreeMap<>();
-    private final TreeMap<PathKey, Path> paths = new TreeMap<>();
     private final TreeMap<Integer, ProxyState> proxies = new TreeMap<>();
     private final TreeMap<Integer, TreeMap<Backend, Double>> tables = new TreeMap<>();
+    private final TreeMap<Integer, Admit> sentLevels = new TreeMap<>();
     private final TreeMap<Integer, TreeMap<Backend, Double>> slices = new TreeMap<>();
     private final List<Action> actions = new ArrayList<>();
     private final TreeSet<Integer> joining = new TreeSet<>();
-    private boolean started;
-    private boolean listChanged;
     private long nextRound;
-    private long roundsHeard;
+    private long learnedAt;
+    private int roundsHeard;
     private boolean reportsCame;
-    // Members, where the list must be asked.
+    private boolean urgent;
     private boolean watching;
     private long askAt;
     private int askFailures;
-    // Levels.
     private double total = Double.POSITIVE_INFINITY;
+    private double proven;
     private int overloadedRounds;
     private final double[] levels;
-    private boolean overloaded;
-    // Sender.
+    private long nextMessage;
     private double linesSent;
     private double linesLeft;
     private long drainedAt;
@@ -182,6 +203,7 @@
     public Logic(Settings settings, long seed) {
         this.settings = settings;
         this.random = new Random(seed);
+        this.regions = settings.crossZonePrice() >= ZONE_TABLE_PRICE ? settings.zones() : 1;
         this.levels = new double[settings.classes().size()];
         Arrays.fill(levels, openLevel());
         groupClasses();
@@ -192,18 +214,18 @@
         if (event instanceof Members members) {
             hearList(now, members);
         } else if (event instanceof ProxyJoined joined) {
-            join(now, joined);
-        } else if (event instanceof ProxyLeft left) {
-            ProxyState proxy = proxies.get(left.proxy());
-            proxy.joined = false;
-            proxy.leftAt = now;
+            join(joined);
+        } else if (event instanceof ProxyLeft left && proxies.containsKey(left.proxy())) {
+            proxies.get(left.proxy()).joined = false;
+            proxies.get(left.proxy()).leftAt = now;
             joining.remove(left.proxy());
-        } else if (event instanceof Tally tally) {
-            hearTally(tally);
-        } else if (event instanceof Usage usage) {
-            hearUsage(usage);
-        } else if (event instanceof Probed probed) {
-            hearProbe(now, probed);
+        } else if (event instanceof Tally tally && backends.containsKey(tally.backend())) {
+            hearTally(backends.get(tally.backend()), tally);
+        } else if (event instanceof Usage usage && proxies.containsKey(usage.proxy())) {
+            reportsCame = true;
+            proxies.get(usage.proxy()).newUsage[usage.cls()] += usage.requests();
+        } else if (event instanceof Probed probed && probed.ok() && backends.containsKey(probed.backend())) {
+            hearLoad(backends.get(probed.backend()), probed.load());
         } else if (event instanceof Applied applied) {
             hearApplied(applied);
         } else if (event instanceof SliceGiven given) {
@@ -221,21 +243,17 @@
         actions.clear();
         askForList(now);
         boolean round = now >= nextRound;
-        if (!started || round) {
-            started = true;
-            nextRound = now + settings.period();
+        if (round) {
+            nextRound = now + Math.max(ROUND, settings.period());
             actions.add(new TimerAt(nextRound, 0));
+            probe();
+            learn(now);
         }
         if (settings.slices() > 0) {
             keepSlices();
-        } else if (round || listChanged || !joining.isEmpty()) {
-            if (round) {
-                probe();
-                learn(now);
-            }
+        } else {
             send(now, round);
         }
-        listChanged = false;
         return List.copyOf(actions);
     }
 
@@ -244,99 +262,60 @@
     private void hearList(long now, Members list) {
         if (list.kind() == ListKind.FAILED) {
             watching = false;
-            askFailures++;
-            long base = Math.min(SECOND / 2 << Math.min(askFailures, 3), settings.rules().askWithin() / 4);
+            long base = Math.min(ROUND << Math.min(askFailures++, 2), settings.rules().askWithin() / 4);
             askAt = now + (long) (base * (0.5 + random.nextDouble() / 2));
             return;
         }
-        if (list.kind() != ListKind.CACHED) {
-            askFailures = 0;
-        }
+        askFailures = list.kind() == ListKind.CACHED ? askFailures : 0;
         TreeSet<Backend> unmentioned = new TreeSet<>(backends.keySet());
         for (Member member : list.entries()) {
             unmentioned.remove(member.backend());
-            BackendState state = backends.computeIfAbsent(member.backend(), b -> new BackendState());
-            if (state.member != null && member.startedAt() > state.member.startedAt()) {
-                forget(state);
-            }
-            listChanged |= state.member == null || !state.member.equals(member);
-            state.member = member;
+            heed(backends.computeIfAbsent(member.backend(), b -> new BackendState()), member);
         }
         if (list.kind() != ListKind.DELTA) {
             for (Backend backend : unmentioned) {
-                BackendState state = backends.get(backend);
-                Member was = state.member;
-                listChanged |= was.listed() != Listed.GONE;
-                state.member = new Member(backend, was.zone(), was.kind(), was.cell(), Listed.GONE, was.weight(),
-                        was.startedAt());
+                Member was = backends.get(backend).member;
+                heed(backends.get(backend), new Member(backend, was.zone(), was.kind(), was.cell(), Listed.GONE,
+                        was.weight(), was.startedAt()));
             }
         }
     }
 
-    /** A process that restarted is a new one: what its predecessor met says nothing of it. */
-    private void forget(BackendState state) {
-        for (int zone = 0; zone < settings.zones(); zone++) {
-            paths.remove(new PathKey(zone, state.member.backend()));
+    private void heed(BackendState state, Member member) {
+        if (state.member != null && member.startedAt() > state.member.startedAt()) {
+            state.forget();
         }
-        state.busy = null;
+        urgent |= state.member == null || !state.member.equals(member);
+        state.member = member;
     }
 
     private void askForList(long now) {
-        if (settings.mustAsk() && !watching && now >= askAt) {
-            watching = true;
-            actions.add(new Watch(true));
-        } else if (settings.mustAsk() && !watching) {
-            actions.add(new TimerAt(askAt, 1));
+        if (settings.mustAsk() && !watching) {
+            watching = now >= askAt;
+            actions.add(watching ? new Watch(true) : new TimerAt(askAt, 1));
         }
     }
 
-    private static boolean ready(BackendState state) {
-        return state.member.listed() == Listed.READY;
-    }
-
-    /** The least part of its capacity that a backend has by now, going by the stated ramp. */
-    private double warmth(long now, BackendState state) {
-        long started = state.member.startedAt();
-        double part = started <= 0 ? 1 : (double) (now - started) / settings.rules().coldFor();
-        double from = settings.rules().coldFrom();
-        return Math.min(1, from + (1 - from) * Math.max(0, part));
-    }
-
     // ---- 2. Health and speed ----------------------------------------------------------------------------
 
-    private Path path(int zone, Backend backend) {
-        return paths.computeIfAbsent(new PathKey(zone, backend), k -> new Path());
+    private int region(int zone) {
+        return regions == 1 ? 0 : zone;
     }
 
-    private void hearTally(Tally tally) {
-        BackendState state = backends.get(tally.backend());
-        if (state == null) {
-            return;
-        }
+    private void hearTally(BackendState state, Tally tally) {
         reportsCame = true;
-        Path path = path(tally.zone(), tally.backend());
-        path.newTries += tally.tries();
-        path.newFailed += tally.failed();
-        path.newLatencySum += (double) tally.latency() * (tally.tries() - tally.failed());
-        hearLoad(state, tally.load());
-    }
-
-    private void hearProbe(long now, Probed probed) {
-        BackendState state = backends.get(probed.backend());
-        if (state != null && probed.ok()) {
-            hearLoad(state, probed.load());
+        for (Path path : List.of(state.paths[region(tally.zone())], state.all)) {
+            path.newTries += tally.tries();
+            path.newFailed += tally.failed();
+            path.newLatencySum += (double) tally.latency() * (tally.tries() - tally.failed());
         }
+        hearLoad(state, tally.load());
     }
 
     private void hearLoad(BackendState state, List<Double> load) {
-        int busy = settings.columns().busy();
-        if (busy >= 0 && busy < load.size()) {
-            state.busy = state.busy == null ? load.get(busy) : blend(state.busy, load.get(busy));
-        }
-        int service = settings.columns().latencyMs();
-        if (service >= 0 && service < load.size() && load.get(service) > 0) {
-            state.serviceMs = state.serviceMs == null ? load.get(service)
-                    : blend(state.serviceMs, load.get(service));
+        int column = settings.columns().busy();
+        if (column >= 0 && column < load.size()) {
+            state.busy = state.busy == 0 ? load.get(column) : blend(state.busy, load.get(column));
         }
     }
 
@@ -345,130 +324,109 @@
     }
 
     private void probe() {
-        if (settings.mayProbe()) {
-            for (BackendState state : backends.values()) {
-                if (ready(state)) {
-                    actions.add(new Probe(state.member.backend()));
-                }
+        for (BackendState state : backends.values()) {
+            if (settings.mayProbe() && state.ready()) {
+                actions.add(new Probe(state.member.backend()));
             }
         }
     }
 
-    /** A round's lessons: paths, backends, usage; then levels. */
+    /** A round's lessons: paths, loads, usage, total. */
     private void learn(long now) {
         if (!reportsCame) {
             return;
         }
         reportsCame = false;
         roundsHeard++;
-        for (Path path : paths.values()) {
-            path.tries += path.newTries - SMOOTH * path.tries;
-            path.failed += path.newFailed - SMOOTH * path.failed;
-            path.latencySum += path.newLatencySum - SMOOTH * path.latencySum;
+        double seconds = learnedAt == 0 ? Math.max(ROUND, settings.period()) / SECOND : (now - learnedAt) / SECOND;
+        learnedAt = now;
+        for (BackendState state : backends.values()) {
+            state.all.learn();
+            for (Path path : state.paths) {
+                path.learn();
+            }
         }
-        judgePaths(now);
-        weighLoads();
-        learnUsage(now);
-        setTotal(now);
-        for (Path path : paths.values()) {
-            path.newTries = 0;
-            path.newFailed = 0;
-            path.newLatencySum = 0;
+        for (int region = 0; region < regions; region++) {
+            judgePaths(now, region);
         }
+        handOver(now);
+        learnUsage(now, seconds);
+        setTotal(now, seconds);
+        setLevels();
     }
 
     /**
      * Rests a path that fails far more than its peers (fast failers, dead and cut-off backends) and lightens one
-     * that is far slower. Late reports can hurt a path once more after its trial: rests then grow.
+     * that is far slower. Full backends fail too: partial failures rest only few, and none under overload.
      */
-    private void judgePaths(long now) {
-        double usualFailing = median(paths.values().stream().filter(p -> p.tries >= ENOUGH)
-                .mapToDouble(Path::failing).toArray());
-        double usualLatency = median(paths.values().stream().filter(p -> p.latency() > 0)
-                .mapToDouble(Path::latency).toArray());
-        for (Map.Entry<PathKey, Path> entry : paths.entrySet()) {
-            Path path = entry.getValue();
-            if (path.restUntil > now) {
+    private void judgePaths(long now, int region) {
+        double usualFailing = median(paths(region).stream().filter(p -> p.tries >= ENOUGH).map(Path::failing).toList());
+        double usualLatency = median(paths(region).stream().map(Path::latency).filter(l -> l > 0).toList());
+        double mayRest = 0;
+        for (BackendState state : backends.values()) {
+            double weight = state.ready() ? state.member.weight() : 0;
+            mayRest += state.paths[region].restUntil > 0 ? -weight : REST_MOST * weight;
+        }
+        List<BackendState> worstFirst = new ArrayList<>(backends.values());
+        worstFirst.sort(Comparator.comparing(s -> -s.paths[region].failing()));
+        for (BackendState state : worstFirst) {
+            Path path = state.paths[region];
+            boolean failing = path.failing() > Math.max(FAILING, 3 * usualFailing);
+            boolean mayRestThis = path.failing() > DEAD
+                    || overloadedRounds == 0 && mayRest >= state.member.weight();
+            if (path.restUntil > now || now < path.trialFrom) {
                 continue;
             }
             if (path.restUntil > 0) {
                 path.restUntil = 0;
                 path.health = TRIAL;
-                path.judgedFrom = now + settings.channel().latest() + 2 * settings.period();
-                path.tries = 0;
-                path.failed = 0;
-                path.latencySum = 0;
-            } else if (now >= path.judgedFrom && path.failing() > Math.max(FAILING, 3 * usualFailing)) {
-                path.restUntil = now + (REST << Math.min(path.relapses, 3));
-                path.relapses++;
+                path.trialFrom = now + settings.channel().latest() + 2 * settings.period();
+                path.tries = path.failed = path.latencySum = 0;
+            } else if (failing && mayRestThis) {
+                path.restUntil = now + (REST << Math.min(path.relapses++, 3));
                 path.health = 0;
-                actions.add(new Log("path failing: backend " + entry.getKey().backend() + " from zone "
-                        + entry.getKey().zone()));
-            } else if (now >= path.judgedFrom) {
-                double slower = path.latency() > 0 && usualLatency > 0 ? path.latency() / usualLatency : 1;
-                double aim = slower > OUTLIER ? 1 / slower : 1;
-                path.health = Math.min(aim, path.health * 1.5);
-                if (path.health == 1) {
-                    path.relapses = 0;
-                }
+                mayRest -= state.member.weight();
+                actions.add(new Log("path rested: " + state.member.backend() + " from region " + region + " failed "
+                        + Math.round(100 * path.failing()) + "%"));
+            } else {
+                double slower = usualLatency > 0 ? path.latency() / usualLatency : 1;
+                path.health = Math.min(slower > OUTLIER ? 1 / slower : 1, path.health * TRIAL_GROWTH);
+                path.relapses = path.health == 1 ? 0 : path.relapses;
             }
         }
     }
 
-    private static double median(double[] values) {
-        Arrays.sort(values);
-        return values.length == 0 ? 0 : values[values.length / 2];
+    private List<Path> paths(int region) {
+        return backends.values().stream().filter(BackendState::ready).map(s -> s.paths[region]).toList();
     }
 
-    /** The companion: backends loaded above the mean hand weight to those below, within the design's bounds. */
-    private void weighLoads() {
-        double sum = 0;
-        double weights = 0;
-        for (BackendState state : backends.values()) {
-            state.latency = latencyOf(state);
-            if (ready(state) && load(state) > 0) {
-                sum += load(state) * state.member.weight();
-                weights += state.member.weight();
-            }
-        }
-        for (BackendState state : backends.values()) {
-            if (!ready(state) || load(state) <= 0 || sum <= 0) {
-                continue;
-            }
-            double gap = load(state) / (sum / weights) - 1;
-            if (Math.abs(gap) > NOISE) {
-                double factor = Math.pow(1 + gap, -HAND_OVER);
-                state.correction = Math.max(LEAST_CORRECTION, Math.min(MOST_CORRECTION, state.correction * factor));
-            }
-        }
-    }
-
-    private double load(BackendState state) {
-        return settings.columns().busy() >= 0 ? (state.busy == null ? 0 : state.busy) : state.latency;
+    private static double median(Collection<Double> values) {
+        return values.isEmpty() ? 0 : values.stream().sorted().skip(values.size() / 2).findFirst().orElse(0.0);
     }
 
-    private double latencyOf(BackendState state) {
-        double sum = 0;
-        double good = 0;
-        for (int zone = 0; zone < settings.zones(); zone++) {
-            Path path = paths.get(new PathKey(zone, state.member.backend()));
-            if (path != null) {
-                sum += path.latencySum;
-                good += path.tries - path.failed;
+    /** The companion: backends loaded above the mean hand weight to those below, within the design's bounds. */
+    private void handOver(long now) {
+        List<BackendState> settled = backends.values().stream().filter(s -> s.ready() && s.load() > 0
+                && s.warmth(now) == 1 && Arrays.stream(s.paths).allMatch(p -> p.health == 1)).toList();
+        double sum = settled.stream().mapToDouble(s -> s.load() * s.member.weight()).sum();
+        double mean = sum / settled.stream().mapToDouble(s -> s.member.weight()).sum();
+        for (BackendState state : settled) {
+            if (Math.abs(state.load() / mean - 1) > NOISE) {
+                double factor = Math.pow(state.load() / mean, -HAND_OVER);
+                state.correction = Math.max(LEAST_CORRECTION, Math.min(MOST_CORRECTION, state.correction * factor));
             }
         }
-        return good < ENOUGH ? 0 : sum / good;
     }
 
     // ---- 3. Tables --------------------------------------------------------------------------------------
 
-    /** Classes open to the same backends share tables; the most confined come first. */
+    /** Classes open to the same backends share tables; the confined ones come first. */
     private void groupClasses() {
         TreeMap<String, List<Integer>> byOpenness = new TreeMap<>();
-        for (int c = 0; c < settings.classes().size(); c++) {
+        for (int c = 0; c < levels.length; c++) {
             ClassSpec spec = settings.classes().get(c);
-            String key = new TreeSet<>(spec.onlyZones()) + "/" + new TreeSet<>(spec.onlyKinds()) + "/" + spec.ownZone();
-            byOpenness.computeIfAbsent(key, k -> new ArrayList<>()).add(c);
+            String openness = spec.onlyZones() + "/" + spec.onlyKinds() + "/" + spec.ownZone();
+            byOpenness.computeIfAbsent(openness, k -> new ArrayList<>()).add(c);
         }
         groups.addAll(byOpenness.values());
         groups.sort(Comparator.comparing((List<Integer> g) -> !confined(g)).thenComparing(g -> g.get(0)));
@@ -485,258 +443,187 @@
                 && (spec.onlyKinds().isEmpty() || spec.onlyKinds().contains(member.kind()));
     }
 
-    private int table(int group, int zone) {
-        return group * settings.zones() + zone;
+    private int table(int group, int region) {
+        return group * regions + region;
     }
 
-    /** What a backend can do, as far as known: listed weight, corrected, less while cold. */
-    private double capacity(long now, BackendState state) {
-        double warm = warmth(now, state);
-        // A cold backend is slow with each request as well as short of room: hence the square.
-        return ready(state) ? state.member.weight() * state.correction * warm * warm : 0;
+    /** What joined proxies ask of a group, by region, in work as far as aims tell of it; never quite nothing. */
+    private double[] demand(List<Integer> group) {
+        double[] demand = new double[regions];
+        Arrays.fill(demand, 1e-3);
+        for (ProxyState proxy : proxies.values()) {
+            for (int cls : group) {
+                demand[region(proxy.zone)] += proxy.joined ? proxy.usage[cls] * settings.classes().get(cls).aim() : 0;
+            }
+        }
+        return demand;
     }
 
-    /**
-     * The weights of all tables. Each group brings every backend a part of its demand such that all are equally
-     * used, confined groups first; within that a zone's proxies keep to their own zone as far as it has room.
-     */
+    /** All tables: each backend is to be used in proportion to its capacity, confined classes placed first. */
     private TreeMap<Integer, TreeMap<Backend, Double>> layTables(long now) {
         TreeMap<Backend, Double> room = new TreeMap<>();
-        double capacity = 0;
-        for (BackendState state : backends.values()) {
-            double can = capacity(now, state);
-            if (can > 0) {
-                room.put(state.member.backend(), can);
-                capacity += can;
-            }
-        }
-        double demand = 0;
-        for (List<Integer> group : groups) {
-            demand += Arrays.stream(demandByZone(group)).sum();
-        }
-        double scale = capacity > 0 ? demand / capacity : 0;
-        TreeMap<Backend, Double> left = new TreeMap<>();
-        room.forEach((backend, can) -> left.put(backend, can * scale));
+        backends.forEach((backend, state) -> room.put(backend, state.capacity(now)));
+        double capacity = sum(room.values());
+        double asked = groups.stream().mapToDouble(g -> Arrays.stream(demand(g)).sum()).sum();
+        TreeMap<Backend, Double> left = new TreeMap<>(room);
+        left.replaceAll((backend, can) -> can * asked / Math.max(1e-9, capacity));
         TreeMap<Integer, TreeMap<Backend, Double>> laid = new TreeMap<>();
         for (int g = 0; g < groups.size(); g++) {
-            layGroup(g, room, left, laid);
+            List<Integer> group = groups.get(g);
+            double[] demand = demand(group);
+            TreeMap<Backend, Double> part = new TreeMap<>();
+            for (BackendState state : backends.values()) {
+                Backend backend = state.member.backend();
+                if (room.get(backend) > 0 && open(group, state.member)) {
+                    double least = LEAST_SHARE * room.get(backend) * asked / capacity;
+                    part.put(backend, confined(group) ? room.get(backend) : Math.max(least, left.get(backend)));
+                }
+            }
+            double scale = Arrays.stream(demand).sum() / sum(part.values());
+            part.replaceAll((backend, share) -> share * scale);
+            part.forEach((backend, share) -> left.merge(backend, -share, Double::sum));
+            for (int r = 0; r < regions; r++) {
+                laid.put(table(g, r), lines(r, part, demand));
+            }
         }
         return laid;
     }
 
-    private void layGroup(int g, TreeMap<Backend, Double> room, TreeMap<Backend, Double> left,
-            TreeMap<Integer, TreeMap<Backend, Double>> laid) {
-        double[] demand = demandByZone(groups.get(g));
-        double all = Arrays.stream(demand).sum();
-        TreeMap<Backend, Double> part = new TreeMap<>();
-        double sum = 0;
-        double sumRoom = 0;
-        for (Map.Entry<Backend, Double> entry : room.entrySet()) {
-            if (open(groups.get(g), backends.get(entry.getKey()).member)) {
-                boolean last = g == groups.size() - 1;
-                double share = confined(groups.get(g)) ? entry.getValue() : left.get(entry.getKey());
-                share = Math.max(share, (last ? 0.05 * all / room.size() : 0));
-                part.put(entry.getKey(), share);
-                sum += share;
-                sumRoom += entry.getValue();
-            }
-        }
-        double[] zoneRoom = new double[settings.zones()];
-        for (Map.Entry<Backend, Double> entry : part.entrySet()) {
-            entry.setValue(entry.getValue() * all / sum);
-            zoneRoom[backends.get(entry.getKey()).member.zone()] += entry.getValue();
-            left.merge(entry.getKey(), -entry.getValue(), (a, b) -> Math.max(0, a + b));
-        }
+    /** One table: its region's own backends as far as they have room, the rest where others leave some. */
+    private TreeMap<Backend, Double> lines(int region, TreeMap<Backend, Double> part, double[] demand) {
+        double[] room = new double[regions];
+        part.forEach((backend, share) -> room[region(backends.get(backend).member.zone())] += share);
         double spare = 0;
-        for (int z = 0; z < settings.zones(); z++) {
-            spare += Math.max(0, zoneRoom[z] - demand[z]);
-        }
-        for (int z = 0; z < settings.zones(); z++) {
-            TreeMap<Backend, Double> lines = new TreeMap<>();
-            double own = Math.min(demand[z], zoneRoom[z]);
-            double weights = 0;
-            for (Map.Entry<Backend, Double> entry : part.entrySet()) {
-                int y = backends.get(entry.getKey()).member.zone();
-                double flow = y == z ? own
-                        : spare > 0 ? (demand[z] - own) * Math.max(0, zoneRoom[y] - demand[y]) / spare : 0;
-                double weight = entry.getValue() / Math.max(1e-9, zoneRoom[y]) * flow / Math.max(1e-9, demand[z])
-                        + TRICKLE * room.get(entry.getKey()) / sumRoom;
-                lines.put(entry.getKey(), weight);
-                weights += weight;
-            }
-            laid.put(table(g, z), withHealth(z, lines, weights));
+        for (int r = 0; r < regions; r++) {
+            spare += Math.max(0, room[r] - demand[r]);
         }
-    }
-
-    /** Applies the health of a zone's paths, unless too little would be left of the table. */
-    private TreeMap<Backend, Double> withHealth(int zone, TreeMap<Backend, Double> lines, double weights) {
-        TreeMap<Backend, Double> healthy = new TreeMap<>();
-        double kept = 0;
-        for (Map.Entry<Backend, Double> line : lines.entrySet()) {
-            Path path = paths.get(new PathKey(zone, line.getKey()));
-            double weight = line.getValue() * (path == null ? 1 : path.health);
-            healthy.put(line.getKey(), weight);
-            kept += weight;
+        TreeMap<Backend, Double> lines = new TreeMap<>();
+        double all = sum(part.values());
+        for (Backend backend : part.keySet()) {
+            int to = region(backends.get(backend).member.zone());
+            double own = Math.min(demand[region], room[region]);
+            double flow = to == region ? own
+                    : spare > 0 ? (demand[region] - own) * Math.max(0, room[to] - demand[to]) / spare : 0;
+            double weight = part.get(backend) * (flow / room[to] / demand[region] + TRICKLE / all);
+            lines.put(backend, weight * backends.get(backend).paths[region].health);
         }
-        TreeMap<Backend, Double> chosen = kept < PANIC_FLOOR * weights && kept < 0.05 * weights ? lines : healthy;
-        double sum = chosen.values().stream().mapToDouble(w -> w).sum();
-        chosen.replaceAll((backend, weight) -> 100 * weight / sum);
-        return chosen;
-    }
-
-    /** What the joined proxies of each zone ask of a group, in work as far as aims tell; never quite nothing. */
-    private double[] demandByZone(List<Integer> group) {
-        double[] demand = new double[settings.zones()];
-        Arrays.fill(demand, 1e-3);
-        for (ProxyState proxy : proxies.values()) {
-            if (proxy.joined) {
-                for (int cls : group) {
-                    demand[proxy.zone] += proxy.usage[cls] * cost(cls);
-                }
-            }
+        if (sum(lines.values()) <= 0) {
+            lines.putAll(part);
         }
-        return demand;
+        double sum = sum(lines.values());
+        lines.replaceAll((backend, weight) -> 100 * weight / sum);
+        return lines;
     }
 
-    /** A class's work relative to the others: its aim is the only hint given. */
-    private double cost(int cls) {
-        return settings.classes().get(cls).aim() / (double) SECOND;
+    private static double sum(Collection<Double> values) {
+        return values.stream().mapToDouble(v -> v).sum();
     }
 
-    // ---- 4. Levels and retries --------------------------------------------------------------------------
+    // ---- 4. Levels --------------------------------------------------------------------------------------
 
     private double openLevel() {
         return settings.admission() == Admission.SHARE ? 1 : OPEN_RATE;
     }
 
-    private void hearUsage(Usage usage) {
-        ProxyState proxy = proxies.get(usage.proxy());
-        if (proxy != null && usage.span() > 0) {
-            reportsCame = true;
-            proxy.heard = true;
-            proxy.newUsage[usage.cls()] += usage.requests() * (double) SECOND / settings.period();
-        }
-    }
-
-    private void learnUsage(long now) {
+    private void learnUsage(long now, double seconds) {
         proxies.values().removeIf(p -> !p.joined && now - p.leftAt > LEASE);
         for (ProxyState proxy : proxies.values()) {
-            for (int c = 0; proxy.heard && c < levels.length; c++) {
-                proxy.usage[c] = blend(proxy.usage[c], proxy.newUsage[c]);
+            for (int c = 0; c < levels.length; c++) {
+                proxy.usage[c] = proxy.joined ? blend(proxy.usage[c], proxy.newUsage[c] / seconds) : proxy.usage[c];
                 proxy.newUsage[c] = 0;
             }
         }
     }
 
-    /** The design's total: set once to the served rate at overload, lowered with patience, raised when calm. */
-    private void setTotal(long now) {
-        double served = 0;
-        int judged = 0;
-        int over = 0;
-        for (BackendState state : backends.values()) {
-            double tries = 0;
-            double failed = 0;
-            for (int zone = 0; zone < settings.zones(); zone++) {
-                Path path = paths.get(new PathKey(zone, state.member.backend()));
-                if (path != null) {
-                    tries += path.tries;
-                    failed += path.failed;
-                }
-            }
-            served += (tries - failed) * SMOOTH * SECOND / settings.period();
-            if (ready(state) && tries >= ENOUGH) {
-                judged++;
-                over += isOverloaded(state, tries, failed) ? 1 : 0;
-            }
-        }
-        boolean was = overloaded;
-        overloaded = judged > 0 && over * 2 > judged;
-        if (roundsHeard <= PATIENCE) {
-            return;
-        }
-        if (overloaded && ++overloadedRounds == 1 && Double.isInfinite(total)) {
-            total = served * HEADROOM;
-        } else if (overloaded && overloadedRounds > PATIENCE) {
-            total *= HEADROOM;
-            overloadedRounds = 1;
-        } else if (!overloaded) {
+    /** The design's total: set once at overload to the served rate, lowered with patience, raised when calm. */
+    private void setTotal(long now, double seconds) {
+        List<BackendState> judged = backends.values().stream().filter(s -> s.ready() && s.all.tries >= ENOUGH).toList();
+        double served = judged.stream().mapToDouble(s -> s.all.tries - s.all.failed).sum() * SMOOTH / seconds;
+        double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
+        long over = judged.stream().filter(this::isOverloaded).count();
+        boolean overloaded = over * 2 > judged.size();
+        boolean was = overloadedRounds > 0;
+        if (!overloaded) {
+            proven = Math.max(proven, served / Math.max(1e-9, capacity));
             overloadedRounds = 0;
-            total *= RAISE;
+            total *= total < PROVEN_PART * proven * capacity ? FAST_RAISE : RAISE;
+        } else if (roundsHeard > LEARN_ROUNDS) {
+            overloadedRounds++;
+            if (Double.isInfinite(total)) {
+                total = Math.max(served * HEADROOM, PROVEN_PART * proven * capacity);
+            } else if (overloadedRounds > PATIENCE) {
+                total *= HEADROOM;
+                overloadedRounds = 1;
+            }
         }
-        if (was != overloaded) {
-            actions.add(new Log(overloaded ? "overload begins" : "overload ends"));
+        if (was != overloadedRounds > 0) {
+            actions.add(new Log(was ? "overload ends" : "overload begins: " + over + " of " + judged.size()
+                    + " backends, " + Math.round(served) + "/s served, total " + Math.round(total) + "/s"));
         }
-        setLevels();
     }
 
-    /** Overload shows in refusals, or in answers twice as slow as when quiet and slow enough to endanger an aim. */
-    private boolean isOverloaded(BackendState state, double tries, double failed) {
-        if (state.latency > 0) {
-            state.quiet = state.quiet == 0 ? state.latency : Math.min(state.quiet, state.latency);
-        }
-        double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(SECOND);
-        return failed > OVERLOAD_FAILED * tries
-                || state.latency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
+    /** Overload shows in failures, or in answers twice as slow as when quiet and slow enough to endanger an aim. */
+    private boolean isOverloaded(BackendState state) {
+        double latency = state.all.latency();
+        state.quiet = state.quiet == 0 || latency > 0 && latency < state.quiet ? latency : state.quiet;
+        double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
+        return state.all.failing() > OVERLOAD_FAILED || latency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
     }
 
-    /** Shares the part out, worthiest class first; each class's rest is one even level for all its proxies. */
+    /** Shares the part out, worthiest class first; a class's rest becomes one even level for all its proxies. */
     private void setLevels() {
+        double demand = proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
+        if (total > LIFT * demand) {
+            total = Double.POSITIVE_INFINITY;
+        }
         List<Integer> byWorth = new ArrayList<>();
-        double demand = 0;
-        double joinedDemand = 0;
         for (int c = 0; c < levels.length; c++) {
             byWorth.add(c);
-            for (ProxyState proxy : proxies.values()) {
-                demand += proxy.usage[c];
-                joinedDemand += proxy.joined ? proxy.usage[c] : 0;
-            }
-        }
-        if (Double.isInfinite(total) || total > 1.5 * demand) {
-            total = Double.POSITIVE_INFINITY;
-            Arrays.fill(levels, openLevel());
-            return;
         }
         byWorth.sort(Comparator.comparing((Integer c) -> -settings.classes().get(c).worth()));
         double part = total;
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
             double asked = Arrays.stream(usage).sum();
-            double level = part >= asked ? OPEN_RATE : evenLevel(usage, part);
             double least = LEAST_LEVEL * asked / Math.max(1, usage.length);
-            levels[cls] = settings.admission() == Admission.SHARE ? Math.min(1, part / Math.max(1e-9, asked))
-                    : Math.max(level, least);
+            if (part >= asked) {
+                levels[cls] = openLevel();
+            } else if (settings.admission() == Admission.SHARE) {
+                levels[cls] = Math.max(LEAST_LEVEL, part / asked);
+            } else {
+                levels[cls] = Math.max(least, evenLevel(usage, part));
+            }
             part = Math.max(0, part - asked);
         }
     }
 
-    /** The one level at which what all proxies may use adds up to the part. */
-    static double evenLevel(double[] sortedUsage, double part) {
+    /** The one level at which what all proxies can use adds up to the part; usage comes sorted. */
+    static double evenLevel(double[] usage, double part) {
         double left = part;
-        for (int i = 0; i < sortedUsage.length; i++) {
-            double even = left / (sortedUsage.length - i);
-            if (sortedUsage[i] >= even) {
+        for (int i = 0; i < usage.length; i++) {
+            double even = left / (usage.length - i);
+            if (usage[i] >= even) {
                 return even;
             }
-            left -= sortedUsage[i];
+            left -= usage[i];
         }
         return OPEN_RATE;
     }
 
+    // ---- 5. Retries -------------------------------------------------------------------------------------
+
     /** A further try after any failure only where a repeat is harmless, and none that would feed an overload. */
     private Retry retry(int cls) {
         boolean safe = settings.classes().get(cls).effect() == Effect.SAFE;
         return safe && Double.isInfinite(total) ? Retry.ONCE : Retry.ONCE_UNRUN;
     }
 
-    // ---- 5. Sender --------------------------------------------------------------------------------------
+    // ---- 6. Sender --------------------------------------------------------------------------------------
 
-    private final TreeMap<Integer, Admit> sentLevels = new TreeMap<>();
-
-    private void join(long now, ProxyJoined joined) {
+    private void join(ProxyJoined joined) {
         ProxyState proxy = proxies.computeIfAbsent(joined.proxy(), p -> new ProxyState());
         proxy.zone = joined.zone();
         proxy.joined = true;
-        proxy.messages.clear();
         if (proxy.usage == null) {
             proxy.usage = new double[levels.length];
             proxy.newUsage = new double[levels.length];
@@ -745,130 +632,103 @@
         joining.add(joined.proxy());
     }
 
+    /** Joining proxies are bound at once; other orders wait for room in the channel and the message budget. */
     private void send(long now, boolean round) {
-        drain(now);
-        TreeMap<Integer, Integer> lines = new TreeMap<>();
+        double seconds = drainedAt == 0 ? 0 : (now - drainedAt) / SECOND;
+        linesLeft = Math.min(linesSent, linesLeft + seconds * SLOW_PACE * settings.channel().linesPerSecond());
+        drainedAt = now;
+        proxies.values().forEach(p -> p.lines = 0);
         TreeMap<Integer, TreeMap<Backend, Double>> laid = layTables(now);
-        sendWithdrawals(lines);
-        sendLines(now, laid, round, lines);
-        if (round || !joining.isEmpty()) {
-            sendLevels(lines);
+        if ((round || urgent) && now >= nextMessage) {
+            sendWithdrawals();
+            sendLines(laid, (urgent ? URGENT_BACKLOG : ORDINARY_BACKLOG) * settings.channel().backlog());
+            sendLevels();
+            urgent = false;
+        } else if (urgent) {
+            actions.add(new TimerAt(nextMessage, 2));
         }
         for (int number : joining) {
             ProxyState proxy = proxies.get(number);
-            int cost = 0;
             for (int g = 0; g < groups.size(); g++) {
-                int mask = groups.get(g).stream().mapToInt(c -> 1 << c).sum();
-                actions.add(new Bind(number, table(g, proxy.zone), mask));
-                cost += 1 + tables.getOrDefault(table(g, proxy.zone), new TreeMap<>()).size() + groups.get(g).size();
+                int table = table(g, region(proxy.zone));
+                actions.add(new Bind(number, table, groups.get(g).stream().mapToInt(c -> 1 << c).sum()));
+                proxy.lines += 1 + tables.get(table).size() + groups.get(g).size();
             }
-            lines.put(number, cost);
         }
         joining.clear();
-        account(now, lines);
+        account(now);
     }
 
-    /** Drained and gone backends are shut out at once; a ready one is let in again with its lines set anew. */
-    private void sendWithdrawals(TreeMap<Integer, Integer> lines) {
-        for (BackendState state : backends.values()) {
-            if (state.withdrawn == ready(state)) {
-                state.withdrawn = !ready(state);
-                actions.add(new Withdraw(state.member.backend(), state.withdrawn));
-                proxies.forEach((number, proxy) -> addLine(lines, number, proxy));
-            }
-        }
+    /** Every order that reaches bound proxies passes here: {@code users} says which. */
+    private void order(Action action, Predicate<ProxyState> users) {
+        actions.add(action);
+        proxies.forEach((number, proxy) ->
+                proxy.lines += proxy.joined && !joining.contains(number) && users.test(proxy) ? 1 : 0);
     }
 
-    private void addLine(TreeMap<Integer, Integer> lines, int number, ProxyState proxy) {
-        if (proxy.joined && !joining.contains(number)) {
-            lines.merge(number, 1, Integer::sum);
+    /** Drained and gone backends are shut out; one that is ready again is let in as its lines are set anew. */
+    private void sendWithdrawals() {
+        for (BackendState state : backends.values()) {
+            if (state.withdrawn == state.ready()) {
+                state.withdrawn = !state.ready();
+                order(new Withdraw(state.member.backend(), state.withdrawn), p -> true);
+            }
         }
     }
 
-    private void sendLines(long now, TreeMap<Integer, TreeMap<Backend, Double>> laid, boolean round,
-            TreeMap<Integer, Integer> lines) {
+    /** Lines that are off, the worst first, as long as the channel has room. */
+    private void sendLines(TreeMap<Integer, TreeMap<Backend, Double>> laid, double mostWaiting) {
         List<Change> changes = new ArrayList<>();
-        for (Map.Entry<Integer, TreeMap<Backend, Double>> table : laid.entrySet()) {
-            TreeMap<Backend, Double> sent = tables.computeIfAbsent(table.getKey(), t -> new TreeMap<>());
-            for (Map.Entry<Backend, Double> line : table.getValue().entrySet()) {
-                double was = sent.getOrDefault(line.getKey(), 0.0);
-                double size = Math.abs(line.getValue() - was) / Math.max(1e-9, Math.max(was, line.getValue()));
+        laid.forEach((table, lines) -> {
+            tables.computeIfAbsent(table, t -> new TreeMap<>());
+            lines.forEach((backend, weight) -> {
+                double was = tables.get(table).getOrDefault(backend, 0.0);
+                double size = Math.abs(weight - was) / Math.max(1e-9, Math.max(was, weight));
                 if (size > WORTH_SENDING) {
-                    boolean cold = warmth(now, backends.get(line.getKey())) < 1;
-                    changes.add(new Change(table.getKey(), line.getKey(), line.getValue(), cold ? size + 1 : size));
+                    changes.add(new Change(table, backend, weight, size));
                 }
-            }
-        }
+            });
+        });
         changes.sort(Comparator.comparing(Change::size).reversed());
-        boolean ordinary = round && ordinaryFits(now);
-        double room = settings.channel().backlog() * ORDINARY_BACKLOG - waiting();
         for (Change change : changes) {
-            long users = proxies.values().stream()
-                    .filter(p -> p.joined && change.table() % settings.zones() == p.zone).count();
-            boolean first = !tables.get(change.table()).containsKey(change.backend());
-            if (users == 0 || first || change.size() > 1 || ordinary && room >= users) {
-                actions.add(new SetLine(change.table(), change.backend(), change.weight()));
+            if (waiting() < mostWaiting) {
+                int region = change.table() % regions;
+                order(new SetLine(change.table(), change.backend(), change.weight()), p -> region(p.zone) == region);
                 tables.get(change.table()).put(change.backend(), change.weight());
-                proxies.forEach((number, proxy) -> {
-                    if (proxy.zone == change.table() % settings.zones()) {
-                        addLine(lines, number, proxy);
-                    }
-                });
-                room -= users;
             }
         }
     }
 
-    private void sendLevels(TreeMap<Integer, Integer> lines) {
-        for (int g = 0; g < groups.size(); g++) {
-            for (int cls : groups.get(g)) {
-                for (int z = 0; z < settings.zones(); z++) {
-                    int key = table(g, z) * 16 + cls;
-                    Admit admit = new Admit(table(g, z), 1 << cls, levels[cls], retry(cls));
-                    Admit sent = sentLevels.get(key);
-                    if (sent == null || sent.retry() != admit.retry()
-                            || Math.abs(sent.level() - admit.level()) > 0.03 * sent.level()) {
-                        sentLevels.put(key, admit);
-                        actions.add(admit);
-                        int zone = z;
-                        proxies.forEach((number, proxy) -> {
-                            if (proxy.zone == zone) {
-                                addLine(lines, number, proxy);
-                            }
-                        });
-                    }
+    private void sendLevels() {
+        for (int table : tables.keySet()) {
+            for (int cls : groups.get(table / regions)) {
+                Admit admit = new Admit(table, 1 << cls, levels[cls], retry(cls));
+                Admit sent = sentLevels.get(table * levels.length + cls);
+                if (sent == null || sent.retry() != admit.retry()
+                        || Math.abs(sent.level() - admit.level()) > LEVEL_WORTH_SENDING * sent.level()) {
+                    sentLevels.put(table * levels.length + cls, admit);
+                    order(admit, p -> region(p.zone) == table % regions);
                 }
             }
         }
     }
 
-    private boolean ordinaryFits(long now) {
-        if (settings.channel().messagesMost() <= 0) {
-            return true;
-        }
-        for (ProxyState proxy : proxies.values()) {
-            while (!proxy.messages.isEmpty() && proxy.messages.peek() <= now - settings.channel().messagesOver()) {
-                proxy.messages.poll();
-            }
-            if (proxy.joined && proxy.messages.size() >= ORDINARY_MESSAGES * settings.channel().messagesMost()) {
-                return false;
-            }
+    /** Books what this reply sends, and marks it so that the answers tell what has left the channel. */
+    private void account(long now) {
+        double before = linesSent;
+        linesSent += replyLines();
+        if (linesSent > before) {
+            markNumber = (markNumber + 1) % 65536;
+            actions.add(new Mark(markNumber, false));
+            marks.add(new SentMark(markNumber, before));
+            int most = settings.channel().messagesMost();
+            nextMessage = most <= 0 ? now : now + (long) (MESSAGE_SPARE * settings.channel().messagesOver() / most);
         }
-        return true;
     }
 
-    /** Books what this reply sends, and marks it so that the answer tells what has left the channel. */
-    private void account(long now, TreeMap<Integer, Integer> lines) {
-        if (lines.isEmpty()) {
-            return;
-        }
-        markNumber = (markNumber + 1) % 65536;
-        actions.add(new Mark(markNumber, false));
-        marks.add(new SentMark(markNumber, linesSent));
-        for (Map.Entry<Integer, Integer> entry : lines.entrySet()) {
-            linesSent += settings.channel().head() + entry.getValue() + 1;
-            proxies.get(entry.getKey()).messages.add(now);
-        }
+    private double replyLines() {
+        return proxies.values().stream().filter(p -> p.lines > 0)
+                .mapToDouble(p -> p.lines + 1 + settings.channel().head()).sum();
     }
 
     private void hearApplied(Applied applied) {
@@ -880,30 +740,23 @@
         }
     }
 
-    /** Without a mark's answer the channel is taken to run slowly. */
-    private void drain(long now) {
-        double seconds = drainedAt == 0 ? 0 : (now - drainedAt) / (double) SECOND;
-        linesLeft = Math.min(linesSent, linesLeft + seconds * SLOW_PACE * settings.channel().linesPerSecond());
-        drainedAt = now;
-    }
-
+    /** The most lines that may still be in the channel, this reply's among them. */
     private double waiting() {
-        return linesSent - linesLeft;
+        return linesSent - linesLeft + replyLines();
     }
 
-    // ---- Sites with slices: legal orders only -----------------------------------------------------------
+    // ---- Sites with slices: legal orders only, not tuned ------------------------------------------------
 
     private void keepSlices() {
-        sendWithdrawals(new TreeMap<>());
-        List<BackendState> usable = backends.values().stream().filter(Logic::ready).toList();
-        for (Map.Entry<Integer, TreeMap<Backend, Double>> slice : slices.entrySet()) {
-            boolean served = slice.getValue().keySet().stream()
-                    .anyMatch(b -> backends.containsKey(b) && ready(backends.get(b)));
-            if (!served && !usable.isEmpty()) {
-                Backend heir = usable.get(slice.getKey() % usable.size()).member.backend();
-                actions.add(new SetLine(slice.getKey(), heir, 1));
-                slice.getValue().put(heir, 1.0);
+        sendWithdrawals();
+        List<Backend> usable = new ArrayList<>();
+        backends.forEach((backend, state) -> usable.addAll(state.ready() ? List.of(backend) : List.of()));
+        slices.forEach((slice, lines) -> {
+            if (!usable.isEmpty() && lines.keySet().stream().noneMatch(usable::contains)) {
+                Backend heir = usable.get(slice % usable.size());
+                actions.add(new SetLine(slice, heir, 1));
+                lines.put(heir, 1.0);
             }
-        }
+        });
     }
 }
