--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -59,7 +59,7 @@
     private static final double HEADROOM = 0.9;
     private static final double RAISE = 1.1;
     /** The total does not start below this part of a rate that was once served calmly, and rises fast below it. */
-    private static final double PROVEN_PART = 0.6;
+    private static final double PROVEN_PART = 0.75;
     private static final double FAST_RAISE = 1.3;
     /** Rounds of overload before the total is lowered again. */
     private static final int PATIENCE = 3;
@@ -89,12 +89,16 @@
         double newTries;
         double newFailed;
         double newLatencySum;
+        double lastFailing;
+        double lastLatency;
         long restUntil;
         long trialFrom;
         int relapses;
         double health = 1;
 
         void learn() {
+            lastFailing = newTries < ENOUGH / 2 ? failing() : newFailed / newTries;
+            lastLatency = newTries - newFailed < ENOUGH / 2 ? 0 : newLatencySum / (newTries - newFailed);
             tries += newTries - SMOOTH * tries;
             failed += newFailed - SMOOTH * failed;
             latencySum += newLatencySum - SMOOTH * latencySum;
@@ -567,7 +571,8 @@
         double latency = state.all.latency();
         state.quiet = state.quiet == 0 || latency > 0 && latency < state.quiet ? latency : state.quiet;
         double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
-        return state.all.failing() > OVERLOAD_FAILED || latency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
+        return state.all.lastFailing > OVERLOAD_FAILED
+                || state.all.lastLatency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
     }
 
     /** Shares the part out, worthiest class first; a class's rest becomes one even level for all its proxies. */
