--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -216,7 +216,9 @@
         } else {
             send(now, round);
         }
-        List<Action> out= List.copyOf(actions);actions.clear();return out;
+        List<Action> orders = List.copyOf(actions);
+        actions.clear();
+        return orders;
     }
 
     // ---- 1. Members -------------------------------------------------------------------------------------
