--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -45,9 +45,10 @@
     private static final double OVERLOAD_FAILED = 0.05; // overload: share of tries that fail
     private static final double OVERLOAD_SLOWER = 2; // or: times slower than when quiet
     private static final double HEADROOM = 0.9; // the total starts at this part of the served rate
-    private static final double RAISE = 1.1; // growth of the total in a calm round
+    private static final double RAISE = 1.1; // growth of the total in a calm second
     private static final double PROVEN_PART = 0.75; // part of a rate once served calmly that is safe
-    private static final double FAST_RAISE = 1.3; // growth of the total in a calm round below that
+    private static final double FAST_RAISE = 1.3; // growth a second below that, or while most are quiet
+    private static final double QUIET = 1.4; // times the quiet latency up to which a backend counts as quiet
     private static final int PATIENCE = 3; // overloaded rounds before the total is lowered again
     private static final int LEARN_ROUNDS = 2; // rounds heard after a start before levels are set
     private static final long LEASE = 10_000_000_000L; // how long departed proxies count, ns
@@ -122,6 +123,10 @@
             return ready() ? member.weight() * correction * warmth(now) * warmth(now) : 0;
         }
 
+        boolean isQuiet() {
+            return all.lastFailing <= OVERLOAD_FAILED && all.lastLatency > 0 && all.lastLatency < QUIET * quiet;
+        }
+
         /** How loaded it is, on whatever scale the site reports; 0 if unknown. */
         double load() { return settings.columns().busy() >= 0 ? busy : all.latency(); }
     }
@@ -512,7 +517,9 @@
         if (!overloaded) {
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
-            total *= total < PROVEN_PART * proven * capacity ? FAST_RAISE : RAISE;
+            boolean idle = total < PROVEN_PART * proven * capacity
+                    || judged.stream().filter(BackendState::isQuiet).count() * 2 > judged.size();
+            total *= Math.pow(idle ? FAST_RAISE : RAISE, seconds);
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (Double.isInfinite(total)) {
