--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -45,9 +45,11 @@
     private static final double OVERLOAD_FAILED = 0.05; // overload: share of tries that fail
     private static final double OVERLOAD_SLOWER = 2; // or: times slower than when quiet
     private static final double HEADROOM = 0.9; // the total starts at this part of the served rate
-    private static final double RAISE = 1.1; // growth of the total in a calm second
-    private static final double PROVEN_PART = 0.85; // part of the best rate served so far that is safe
-    private static final double PAST_PROVEN = 1.02; // its growth a second past the rate once served
+    private static final double RAISE = 1.1; // growth of the total in a calm round
+    private static final double PROVEN_PART = 0.75; // part of a rate once served calmly that is safe
+    private static final double FAST_RAISE = 1.3; // growth of the total in a calm round below that
+    private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
+    private static final double JAM_FAILED = 0.3; // jammed: share of tries that fail, or answers beyond an aim
     private static final int PATIENCE = 3; // overloaded rounds before the total is lowered again
     private static final int LEARN_ROUNDS = 2; // rounds heard after a start before levels are set
     private static final long LEASE = 10_000_000_000L; // how long departed proxies count, ns
@@ -63,20 +65,19 @@
     /** How the joined proxies of one region fare at one backend. */
     private static final class Path {
         double tries, failed, latencySum; // smoothed over rounds
-        double newTries, newFailed, newLatencySum, newSpan; // since the last round
-        double lastFailing, lastLatency, lastGood; // of the last round alone
+        double newTries, newFailed, newLatencySum; // since the last round
+        double lastFailing, lastLatency; // of the last round alone
         long restUntil, trialFrom;
         int relapses;
         double health = 1;
 
         void learn() {
-            lastGood = newTries - newFailed;
             lastFailing = newTries < ENOUGH / 2 ? failing() : newFailed / newTries;
             lastLatency = newTries - newFailed < ENOUGH / 2 ? 0 : newLatencySum / (newTries - newFailed);
             tries += newTries - SMOOTH * tries;
             failed += newFailed - SMOOTH * failed;
             latencySum += newLatencySum - SMOOTH * latencySum;
-            newTries = newFailed = newLatencySum = newSpan = 0;
+            newTries = newFailed = newLatencySum = 0;
         }
 
         double failing() { return tries < ENOUGH ? 0 : failed / tries; }
@@ -152,9 +153,9 @@
     private final TreeMap<Integer, TreeMap<Backend, Double>> slices = new TreeMap<>();
     private final List<Action> actions = new ArrayList<>();
     private final TreeSet<Integer> joining = new TreeSet<>();
-    private long nextRound;
+    private long nextRound, learnedAt;
     private int roundsHeard;
-    private boolean reportsCame, urgent, watching;
+    private boolean reportsCame, urgent, watching, jammed;
     private long askAt;
     private int askFailures, overloadedRounds;
     private double total = Double.POSITIVE_INFINITY, proven, usualCapacity;
@@ -271,7 +272,6 @@
         for (Path path : List.of(state.paths[region(tally.zone())], state.all)) {
             path.newTries += tally.tries();
             path.newFailed += tally.failed();
-            path.newSpan += tally.span();
             path.newLatencySum += (double) tally.latency() * (tally.tries() - tally.failed());
         }
         hearLoad(state, tally.load());
@@ -301,9 +301,9 @@
         }
         reportsCame = false;
         roundsHeard++;
-        // Reports come late by varying times: their span, not the clock, says how long the round was.
-        double seconds = Math.max(settings.period(), backends.values().stream()
-                .flatMap(s -> Arrays.stream(s.paths)).mapToDouble(p -> p.newSpan).max().orElse(0)) / SECOND;
+        double seconds = learnedAt == 0 ? Math.max(ROUND, settings.period()) / SECOND
+                : (now - learnedAt) / SECOND;
+        learnedAt = now;
         for (BackendState state : backends.values()) {
             state.all.learn();
             for (Path path : state.paths) {
@@ -505,21 +505,21 @@
     private void setTotal(long now, double seconds) {
         List<BackendState> judged = backends.values().stream().filter(s -> s.ready()
                 && s.all.tries >= ENOUGH).toList();
-        double served = backends.values().stream().mapToDouble(s -> s.all.lastGood).sum() / seconds;
+        double served = judged.stream().mapToDouble(s -> s.all.tries - s.all.failed).sum() * SMOOTH / seconds;
         double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
         usualCapacity = Math.max(capacity, blend(usualCapacity, capacity));
-        proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
-        double safe = PROVEN_PART * proven * capacity;
         long over = judged.stream().filter(this::isOverloaded).count();
         boolean overloaded = over * 2 > judged.size();
+        jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
         boolean was = overloadedRounds > 0;
         if (!overloaded) {
+            proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
-            total *= Math.pow(total < safe ? RAISE : PAST_PROVEN, seconds);
+            total *= total < PROVEN_PART * proven * capacity ? FAST_RAISE : RAISE;
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (Double.isInfinite(total)) {
-                total = Math.max(served * HEADROOM, safe);
+                total = Math.max(served * HEADROOM, PROVEN_PART * proven * capacity);
             } else if (overloadedRounds > PATIENCE) {
                 total *= HEADROOM;
                 overloadedRounds = 1;
@@ -540,6 +540,12 @@
                 || state.all.lastLatency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
     }
 
+    /** A jam: answers come too late to be of use, and what is let in only waits. Queues must drain first. */
+    private boolean isJammed(BackendState state) {
+        double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
+        return state.all.lastFailing > JAM_FAILED || state.all.lastLatency > aim;
+    }
+
     /** Shares the part out, worthiest class first; a class's rest becomes one even level for all. */
     private void setLevels() {
         double demand = proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
@@ -551,7 +557,7 @@
             byWorth.add(c);
         }
         byWorth.sort(Comparator.comparing((Integer c) -> -settings.classes().get(c).worth()));
-        double part = total;
+        double part = jammed ? DRAIN * total : total;
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
             double asked = Arrays.stream(usage).sum();
