Move the share of unreachable backends out of a region's room

Cause: tables kept a region's whole demand on its own backends while some of them were dead but still listed.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -49,7 +49,7 @@
     private static final double PROVEN_PART = 0.75; // part of a rate once served calmly that is safe
     private static final double FAST_RAISE = 1.3; // growth of the total in a calm round below that
     private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
-    private static final double JAM_FAILED = 0.3; // jammed: share of tries that fail, or answers beyond an aim
+    private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
     private static final int PATIENCE = 3; // overloaded rounds before the total is lowered again
     private static final int LEARN_ROUNDS = 2; // rounds heard after a start before levels are set
     private static final long LEASE = 10_000_000_000L; // how long departed proxies count, ns
@@ -456,27 +456,29 @@
         return laid;
     }
 
-    /** One table: its region's own backends as far as they have room, the rest where others leave some. */
+    // One table: its region's own backends as far as they have room, the rest where others leave some. What the
+    // region's proxies cannot reach has no room for them: their share moves on, to other regions if need be.
     private TreeMap<Backend, Double> lines(int region, TreeMap<Backend, Double> part, double[] demand) {
-        double[] room = new double[regions];
-        part.forEach((backend, share) -> room[region(backends.get(backend).member.zone())] += share);
-        double spare = 0;
-        for (int r = 0; r < regions; r++) {
-            spare += Math.max(0, room[r] - demand[r]);
-        }
         TreeMap<Backend, Double> lines = new TreeMap<>();
-        double all = sum(part.values());
-        for (Backend backend : part.keySet()) {
-            int to = region(backends.get(backend).member.zone());
-            double own = Math.min(demand[region], room[region]);
-            double flow = to == region ? own
-                    : spare > 0 ? (demand[region] - own) * Math.max(0, room[to] - demand[to]) / spare : 0;
-            double weight = part.get(backend) * (flow / room[to] / demand[region] + TRICKLE / all);
-            lines.put(backend, weight * backends.get(backend).paths[region].health);
-        }
+        part.forEach((backend, share) -> lines.put(backend, share * backends.get(backend).paths[region].health));
         if (sum(lines.values()) <= 0) {
             lines.putAll(part);
         }
+        double all = Arrays.stream(demand).sum();
+        double scale = all / sum(lines.values());
+        double[] room = new double[regions];
+        lines.forEach((backend, share) -> room[region(backends.get(backend).member.zone())] += share * scale);
+        double own = Math.min(demand[region], room[region]);
+        double spare = 1e-9;
+        for (int r = 0; r < regions; r++) {
+            spare += r == region ? 0 : Math.max(0, room[r] - demand[r]);
+        }
+        double[] flow = new double[regions];
+        for (int r = 0; r < regions; r++) {
+            flow[r] = r == region ? own : (demand[region] - own) * Math.max(0, room[r] - demand[r]) / spare;
+            flow[r] = room[r] <= 0 ? 0 : flow[r] / room[r] / demand[region] + TRICKLE / all;
+        }
+        lines.replaceAll((backend, share) -> share * flow[region(backends.get(backend).member.zone())]);
         double sum = sum(lines.values());
         lines.replaceAll((backend, weight) -> 100 * weight / sum);
         return lines;
