--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -456,11 +456,12 @@
         return laid;
     }
 
-    // One table: its region's own backends as far as they have room, the rest where others leave some. What the
-    // region's proxies cannot reach has no room for them: their share moves on, to other regions if need be.
+    // One table: its region's own backends as far as they have room, the rest where others leave some. What
+    // the region's proxies cannot reach has no room for them: their share moves on, if need be far.
     private TreeMap<Backend, Double> lines(int region, TreeMap<Backend, Double> part, double[] demand) {
         TreeMap<Backend, Double> lines = new TreeMap<>();
-        part.forEach((backend, share) -> lines.put(backend, share * backends.get(backend).paths[region].health));
+        part.forEach((backend, share) ->
+                lines.put(backend, share * backends.get(backend).paths[region].health));
         if (sum(lines.values()) <= 0) {
             lines.putAll(part);
         }
@@ -591,7 +592,7 @@
     /** A further try after any failure only where a repeat is harmless, and none under overload. */
     private Retry retry(int cls) {
         boolean safe = settings.classes().get(cls).effect() == Effect.SAFE;
-        return safe && Double.isInfinite(total) ? Retry.ONCE : Retry.ONCE_UNRUN;
+        return Retry.ONCE_UNRUN;
     }
 
     // ---- 6. Sender --------------------------------------------------------------------------------------
