--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -48,6 +48,9 @@
     private static final double RAISE = 1.1; // growth of the total in a calm round
     private static final double PROVEN_PART = 0.75; // part of a rate once served calmly that is safe
     private static final double FAST_RAISE = 1.3; // growth of the total in a calm round below that
+    private static final double QUIET = 1.4; // times the quiet latency up to which a backend counts as quiet
+    private static final double FULL = 0.85; // reported use up to which the total may grow faster
+    private static final double PAST_FULL = 1.02; // growth of the total past that
     private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
     private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
     private static final int PATIENCE = 3; // overloaded rounds before the total is lowered again
@@ -91,7 +94,7 @@
         Path[] paths = newPaths();
         Path all = new Path();
         double correction = 1;
-        double busy, quiet;
+        double busy, lastBusy, quiet;
         boolean withdrawn;
 
         boolean ready() { return member.listed() == Listed.READY; }
@@ -124,6 +127,8 @@
             return ready() ? member.weight() * correction * warmth(now) * warmth(now) : 0;
         }
 
+        boolean isQuiet() { return all.lastLatency > 0 && all.lastLatency < QUIET * quiet; }
+
         /** How loaded it is, on whatever scale the site reports; 0 if unknown. */
         double load() { return settings.columns().busy() >= 0 ? busy : all.latency(); }
     }
@@ -280,6 +285,7 @@
     private void hearLoad(BackendState state, List<Double> load) {
         int column = settings.columns().busy();
         if (column >= 0 && column < load.size()) {
+            state.lastBusy = load.get(column);
             state.busy = state.busy == 0 ? load.get(column) : blend(state.busy, load.get(column));
         }
     }
@@ -518,7 +524,7 @@
         if (!overloaded) {
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
-            total *= total < PROVEN_PART * proven * capacity ? FAST_RAISE : RAISE;
+            total *= total < PROVEN_PART * proven * capacity ? FAST_RAISE : Math.pow(raise(judged), seconds);
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (Double.isInfinite(total)) {
@@ -534,6 +540,15 @@
         }
     }
 
+    /** A tenth, or as much as reported use leaves room for; while most answer as when quiet, the fast pace. */
+    private double raise(List<BackendState> judged) {
+        double busy = judged.stream().mapToDouble(s -> s.lastBusy).average().orElse(0);
+        if (busy > 0) {
+            return Math.max(PAST_FULL, Math.min(FAST_RAISE, FULL / busy));
+        }
+        return judged.stream().filter(BackendState::isQuiet).count() * 2 > judged.size() ? FAST_RAISE : RAISE;
+    }
+
     /** Overload shows in failures, or in answers twice as slow as in quiet and slow enough to matter. */
     private boolean isOverloaded(BackendState state) {
         double latency = state.all.latency();
