--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -51,6 +51,7 @@
     private static final double QUIET = 1.4; // times the quiet latency up to which a backend counts as quiet
     private static final double FULL = 0.85; // reported use up to which the total may grow faster
     private static final double PAST_FULL = 1.02; // growth of the total past that
+    private static final double AHEAD = 1.5; // times the served rate beyond which the total does not run ahead
     private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
     private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
     private static final int PATIENCE = 3; // overloaded rounds before the total is lowered again
@@ -525,10 +526,11 @@
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
             total *= total < PROVEN_PART * proven * capacity ? FAST_RAISE : Math.pow(raise(judged), seconds);
+            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(AHEAD * served, 1));
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
-            if (Double.isInfinite(total)) {
-                total = Math.max(served * HEADROOM, PROVEN_PART * proven * capacity);
+            if (overloadedRounds == 1 && !was) {
+                total = Math.min(total, Math.max(served * HEADROOM, PROVEN_PART * proven * capacity));
             } else if (overloadedRounds > PATIENCE) {
                 total *= HEADROOM;
                 overloadedRounds = 1;
@@ -540,7 +542,7 @@
         }
     }
 
-    /** A tenth, or as much as reported use leaves room for; while most answer as when quiet, the fast pace. */
+    /** A tenth, or as much as reported use leaves room for; the fast pace while most answer as in quiet. */
     private double raise(List<BackendState> judged) {
         double busy = judged.stream().mapToDouble(s -> s.lastBusy).average().orElse(0);
         if (busy > 0) {
