--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -46,12 +46,12 @@
     private static final double OVERLOAD_SLOWER = 2; // or: times slower than when quiet
     private static final double HEADROOM = 0.9; // the total starts at this part of the served rate
     private static final double RAISE = 1.1; // growth of the total in a calm round
-    private static final double PROVEN_PART = 0.75; // part of a rate once served calmly that is safe
+    private static final double PROVEN_PART = 0.75; // part of the best rate served calmly so far: safe
     private static final double FAST_RAISE = 1.3; // growth of the total in a calm round below that
     private static final double QUIET = 1.4; // times the quiet latency up to which a backend counts as quiet
     private static final double FULL = 0.85; // reported use up to which the total may grow faster
     private static final double PAST_FULL = 1.02; // growth of the total past that
-    private static final double AHEAD = 1.5; // times the served rate beyond which the total does not run ahead
+    private static final double AHEAD = 1.5; // times the served rate: the total does not run ahead
     private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
     private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
     private static final int PATIENCE = 3; // overloaded rounds before the total is lowered again
@@ -518,6 +518,7 @@
         double served = judged.stream().mapToDouble(s -> s.all.tries - s.all.failed).sum() * SMOOTH / seconds;
         double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
         usualCapacity = Math.max(capacity, blend(usualCapacity, capacity));
+        double safe = PROVEN_PART * proven * capacity;
         long over = judged.stream().filter(this::isOverloaded).count();
         boolean overloaded = over * 2 > judged.size();
         jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
@@ -525,12 +526,12 @@
         if (!overloaded) {
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
-            total *= total < PROVEN_PART * proven * capacity ? FAST_RAISE : Math.pow(raise(judged), seconds);
-            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(AHEAD * served, 1));
+            total *= Math.pow(total < safe ? FAST_RAISE : raise(judged), seconds);
+            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(AHEAD * served, safe));
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (overloadedRounds == 1 && !was) {
-                total = Math.min(total, Math.max(served * HEADROOM, PROVEN_PART * proven * capacity));
+                total = Math.min(total, Math.max(served * HEADROOM, safe));
             } else if (overloadedRounds > PATIENCE) {
                 total *= HEADROOM;
                 overloadedRounds = 1;
