--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -38,6 +38,8 @@
     // Tables.
     private static final double ZONE_TABLE_PRICE = 0.02; // crossing price from which zones have own tables
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
+    private static final double STRAIN = 1.6; // times the quiet latency from which tables spread over all zones
+    private static final double CALMING = 0.8; // what is left of that spread after a calm round
     private static final double LEAST_SHARE = 0.05; // of an even share, that open classes leave everywhere
     private static final double WORTH_SENDING = 0.1; // smallest relative change of a line that is sent
     private static final double LEVEL_WORTH_SENDING = 0.03; // and of a level
@@ -164,7 +166,7 @@
     private boolean reportsCame, urgent, watching, jammed;
     private long askAt;
     private int askFailures, overloadedRounds;
-    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity;
+    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity, spread = TRICKLE;
     private final double[] levels;
     private long nextMessage, drainedAt;
     private double linesSent, linesLeft;
@@ -484,7 +486,7 @@
         double[] flow = new double[regions];
         for (int r = 0; r < regions; r++) {
             flow[r] = r == region ? own : (demand[region] - own) * Math.max(0, room[r] - demand[r]) / spare;
-            flow[r] = room[r] <= 0 ? 0 : flow[r] / room[r] / demand[region] + TRICKLE / all;
+            flow[r] = room[r] <= 0 ? 0 : (1 - spread) * flow[r] / room[r] / demand[region] + spread / all;
         }
         lines.replaceAll((backend, share) -> share * flow[region(backends.get(backend).member.zone())]);
         double sum = sum(lines.values());
@@ -521,6 +523,8 @@
         double safe = PROVEN_PART * proven * capacity;
         long over = judged.stream().filter(this::isOverloaded).count();
         boolean overloaded = over * 2 > judged.size();
+        long strained = judged.stream().filter(s -> s.all.lastLatency > STRAIN * s.quiet).count();
+        spread = overloaded || strained * 2 > judged.size() ? 1 : Math.max(TRICKLE, spread * CALMING);
         jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
         boolean was = overloadedRounds > 0;
         if (!overloaded) {
