--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -53,7 +53,8 @@
     private static final double QUIET = 1.4; // times the quiet latency up to which a backend counts as quiet
     private static final double FULL = 0.85; // reported use up to which the total may grow faster
     private static final double PAST_FULL = 1.02; // growth of the total past that
-    private static final double SWELL = 1.25; // most that usage may grow while levels are set
+    private static final double SHORT = 0.85; // part of the total: if less is served, levels are filled up
+    private static final double FILL_MOST = 3; // most that the part is multiplied for that
     private static final double AHEAD = 1.5; // times the served rate: the total does not run ahead
     private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
     private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
@@ -142,7 +143,7 @@
         int zone;
         boolean joined;
         long leftAt;
-        double[] usage, usual, newUsage; // by class: a second, before any level, since the last round
+        double[] usage, newUsage; // by class, requests a second and since the last round
         int lines;
     }
 
@@ -167,7 +168,8 @@
     private boolean reportsCame, urgent, watching, jammed;
     private long askAt;
     private int askFailures, overloadedRounds;
-    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity, spread = TRICKLE;
+    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity;
+    private double spread = TRICKLE, fill = 1;
     private final double[] levels;
     private long nextMessage, drainedAt;
     private double linesSent, linesLeft;
@@ -503,15 +505,12 @@
 
     private double openLevel() { return settings.admission() == Admission.SHARE ? 1 : OPEN_RATE; }
 
-    // Refused clients ask again, so that usage swells while a level binds: then what came to the proxy before
-    // counts, with some room, lest the repeats of the worthy classes eat the part of the others.
     private void learnUsage(long now, double seconds) {
         proxies.values().removeIf(p -> !p.joined && now - p.leftAt > LEASE);
         for (ProxyState proxy : proxies.values()) {
-            for (int c = 0; proxy.joined && c < levels.length; c++) {
-                double most = Double.isInfinite(total) ? Double.MAX_VALUE : SWELL * Math.max(1, proxy.usual[c]);
-                proxy.usage[c] = Math.min(most, blend(proxy.usage[c], proxy.newUsage[c] / seconds));
-                proxy.usual[c] = Double.isInfinite(total) ? proxy.usage[c] : proxy.usual[c];
+            for (int c = 0; c < levels.length; c++) {
+                proxy.usage[c] = proxy.joined ? blend(proxy.usage[c], proxy.newUsage[c] / seconds)
+                        : proxy.usage[c];
                 proxy.newUsage[c] = 0;
             }
         }
@@ -545,6 +544,9 @@
                 overloadedRounds = 1;
             }
         }
+        // Refused clients ask again and swell the usage that levels go by, so that less is let in than meant.
+        fill = overloaded || Double.isInfinite(total) ? 1 : served < SHORT * total ? Math.min(FILL_MOST, fill * RAISE)
+                : fill;
         if (was != overloadedRounds > 0) {
             actions.add(new Log(was ? "overload ends" : "overload begins: " + over + " of " + judged.size()
                     + " backends, " + Math.round(served) + "/s served, total " + Math.round(total) + "/s"));
@@ -586,7 +588,7 @@
             byWorth.add(c);
         }
         byWorth.sort(Comparator.comparing((Integer c) -> -settings.classes().get(c).worth()));
-        double part = jammed ? DRAIN * total : total;
+        double part = (jammed ? DRAIN : fill) * total;
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
             double asked = Arrays.stream(usage).sum();
@@ -631,7 +633,6 @@
             proxy.usage = new double[levels.length];
             proxy.newUsage = new double[levels.length];
             Arrays.fill(proxy.usage, joined.rate() / levels.length);
-            proxy.usual = proxy.usage.clone();
         }
         joining.add(joined.proxy());
     }
