--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -38,7 +38,7 @@
     // Tables.
     private static final double ZONE_TABLE_PRICE = 0.02; // crossing price from which zones have own tables
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
-    private static final double STRAIN = 1.6; // times the quiet latency from which tables spread over all zones
+    private static final double STRAIN = 1.6; // times the quiet latency from which tables spread over zones
     private static final double CALMING = 0.8; // what is left of that spread after a calm round
     private static final double LEAST_SHARE = 0.05; // of an even share, that open classes leave everywhere
     private static final double WORTH_SENDING = 0.1; // smallest relative change of a line that is sent
@@ -53,8 +53,6 @@
     private static final double QUIET = 1.4; // times the quiet latency up to which a backend counts as quiet
     private static final double FULL = 0.85; // reported use up to which the total may grow faster
     private static final double PAST_FULL = 1.02; // growth of the total past that
-    private static final double SHORT = 0.85; // part of the total: if less is served, levels are filled up
-    private static final double FILL_MOST = 3; // most that the part is multiplied for that
     private static final double AHEAD = 1.5; // times the served rate: the total does not run ahead
     private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
     private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
@@ -168,8 +166,7 @@
     private boolean reportsCame, urgent, watching, jammed;
     private long askAt;
     private int askFailures, overloadedRounds;
-    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity;
-    private double spread = TRICKLE, fill = 1;
+    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity, spread = TRICKLE;
     private final double[] levels;
     private long nextMessage, drainedAt;
     private double linesSent, linesLeft;
@@ -523,7 +520,7 @@
         double served = judged.stream().mapToDouble(s -> s.all.tries - s.all.failed).sum() * SMOOTH / seconds;
         double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
         usualCapacity = Math.max(capacity, blend(usualCapacity, capacity));
-        double safe = PROVEN_PART * proven * capacity;
+        double known = proven * capacity;
         long over = judged.stream().filter(this::isOverloaded).count();
         boolean overloaded = over * 2 > judged.size();
         long strained = judged.stream().filter(s -> s.all.lastLatency > STRAIN * s.quiet).count();
@@ -533,20 +530,17 @@
         if (!overloaded) {
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
-            total *= Math.pow(total < safe ? FAST_RAISE : raise(judged), seconds);
-            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(AHEAD * served, safe));
+            total *= Math.pow(total < known ? FAST_RAISE : raise(judged), seconds);
+            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(AHEAD * served, known));
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (overloadedRounds == 1 && !was) {
-                total = Math.min(total, Math.max(served * HEADROOM, safe));
+                total = Math.min(total, Math.max(served * HEADROOM, PROVEN_PART * known));
             } else if (overloadedRounds > PATIENCE) {
                 total *= HEADROOM;
                 overloadedRounds = 1;
             }
         }
-        // Refused clients ask again and swell the usage that levels go by, so that less is let in than meant.
-        fill = overloaded || Double.isInfinite(total) ? 1 : served < SHORT * total ? Math.min(FILL_MOST, fill * RAISE)
-                : fill;
         if (was != overloadedRounds > 0) {
             actions.add(new Log(was ? "overload ends" : "overload begins: " + over + " of " + judged.size()
                     + " backends, " + Math.round(served) + "/s served, total " + Math.round(total) + "/s"));
@@ -588,7 +582,7 @@
             byWorth.add(c);
         }
         byWorth.sort(Comparator.comparing((Integer c) -> -settings.classes().get(c).worth()));
-        double part = (jammed ? DRAIN : fill) * total;
+        double part = jammed ? DRAIN * total : total;
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
             double asked = Arrays.stream(usage).sum();
