--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -535,7 +535,7 @@
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (overloadedRounds == 1 && !was) {
-                total = Math.min(total, Math.max(served * HEADROOM, PROVEN_PART * known));
+                total = Math.min(total, Math.max(served * (jammed ? HEADROOM : 1), PROVEN_PART * known));
             } else if (overloadedRounds > PATIENCE) {
                 total *= HEADROOM;
                 overloadedRounds = 1;
@@ -561,7 +561,8 @@
         double latency = state.all.latency();
         state.quiet = state.quiet == 0 || latency > 0 && latency < state.quiet ? latency : state.quiet;
         double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
-        return state.all.lastFailing > OVERLOAD_FAILED
+        boolean slower = state.all.lastLatency == 0 || state.all.lastLatency > STRAIN * state.quiet;
+        return state.all.lastFailing > OVERLOAD_FAILED && slower
                 || state.all.lastLatency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
     }
 
