--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -517,7 +517,8 @@
     private void setTotal(long now, double seconds) {
         List<BackendState> judged = backends.values().stream().filter(s -> s.ready()
                 && s.all.tries >= ENOUGH).toList();
-        double served = judged.stream().mapToDouble(s -> s.all.tries - s.all.failed).sum() * SMOOTH / seconds;
+        double served = backends.values().stream().mapToDouble(s -> s.all.tries - s.all.failed).sum() * SMOOTH
+                / seconds;
         double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
         usualCapacity = Math.max(capacity, blend(usualCapacity, capacity));
         double known = proven * capacity;
