--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -31,15 +31,13 @@
     private static final double TRIAL = 0.1; // part of its weight that a path gets on trial
     private static final double TRIAL_GROWTH = 2; // growth of that part in a round that goes well
     // Hand-overs: the part of a load gap closed in a round, the gap taken for noise, the design's bounds.
-    private static final double HAND_OVER = 0.2;
+    private static final double HAND_OVER = 0.1;
     private static final double NOISE = 0.1;
     private static final double LEAST_CORRECTION = 0.5;
     private static final double MOST_CORRECTION = 2;
     // Tables.
     private static final double ZONE_TABLE_PRICE = 0.02; // crossing price from which zones have own tables
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
-    private static final double STRAIN = 1.6; // times the quiet latency from which tables spread over zones
-    private static final double CALMING = 0.8; // what is left of that spread after a calm round
     private static final double LEAST_SHARE = 0.05; // of an even share, that open classes leave everywhere
     private static final double WORTH_SENDING = 0.1; // smallest relative change of a line that is sent
     private static final double LEVEL_WORTH_SENDING = 0.03; // and of a level
@@ -54,7 +52,7 @@
     private static final double FULL = 0.85; // reported use up to which the total may grow faster
     private static final double PAST_FULL = 1.02; // growth of the total past that
     private static final double AHEAD = 1.5; // times the served rate: the total does not run ahead
-    private static final double DRAIN = 0.4; // part of the total let in while most backends are jammed
+    private static final double DRAIN = 0.7; // part of the total let in while most backends are jammed
     private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
     private static final int PATIENCE = 3; // overloaded rounds before the total is lowered again
     private static final int LEARN_ROUNDS = 2; // rounds heard after a start before levels are set
@@ -166,7 +164,7 @@
     private boolean reportsCame, urgent, watching, jammed;
     private long askAt;
     private int askFailures, overloadedRounds;
-    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity, spread = TRICKLE;
+    private double total = Double.POSITIVE_INFINITY, proven, usualCapacity;
     private final double[] levels;
     private long nextMessage, drainedAt;
     private double linesSent, linesLeft;
@@ -486,7 +484,7 @@
         double[] flow = new double[regions];
         for (int r = 0; r < regions; r++) {
             flow[r] = r == region ? own : (demand[region] - own) * Math.max(0, room[r] - demand[r]) / spare;
-            flow[r] = room[r] <= 0 ? 0 : (1 - spread) * flow[r] / room[r] / demand[region] + spread / all;
+            flow[r] = room[r] <= 0 ? 0 : flow[r] / room[r] / demand[region] + TRICKLE / all;
         }
         lines.replaceAll((backend, share) -> share * flow[region(backends.get(backend).member.zone())]);
         double sum = sum(lines.values());
@@ -524,8 +522,6 @@
         double known = proven * capacity;
         long over = judged.stream().filter(this::isOverloaded).count();
         boolean overloaded = over * 2 > judged.size();
-        long strained = judged.stream().filter(s -> s.all.lastLatency > STRAIN * s.quiet).count();
-        spread = overloaded || strained * 2 > judged.size() ? 1 : Math.max(TRICKLE, spread * CALMING);
         jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
         boolean was = overloadedRounds > 0;
         if (!overloaded) {
@@ -562,7 +558,7 @@
         double latency = state.all.latency();
         state.quiet = state.quiet == 0 || latency > 0 && latency < state.quiet ? latency : state.quiet;
         double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
-        boolean slower = state.all.lastLatency == 0 || state.all.lastLatency > STRAIN * state.quiet;
+        boolean slower = state.all.lastLatency == 0 || state.all.lastLatency > QUIET * state.quiet;
         return state.all.lastFailing > OVERLOAD_FAILED && slower
                 || state.all.lastLatency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
     }
