--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -60,6 +60,8 @@
     private static final double LEAST_LEVEL = 0.1; // of mean usage: no proxy out of reach starves on it
     private static final double LIFT = 1.3; // the total is lifted at this many times the demand
     private static final double OPEN_RATE = 1_000_000; // the rate that lets everything in
+    // Safe for every class. A try again after any failure cuts the first short: that waste alone feeds jams.
+    private static final Retry RETRY = Retry.ONCE_UNRUN;
     // Sender.
     private static final double ORDINARY_BACKLOG = 0.4; // of the backlog, that ordinary orders may fill
     private static final double URGENT_BACKLOG = 0.8; // and urgent ones
@@ -115,15 +117,12 @@
 
         /** The least part of its capacity that it has by now, going by the stated ramp. */
         double warmth(long now) {
-            double age = member.startedAt() <= 0 ? 1 : (now - member.startedAt()) / (double) settings
-                    .rules().coldFor();
-            double from = settings.rules().coldFrom();
-            return Math.min(1, from + (1 - from) * Math.max(0, age));
+            Rules rules = settings.rules();
+            double age = member.startedAt() <= 0 ? 1 : (now - member.startedAt()) / (double) rules.coldFor();
+            return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age));
         }
 
-        /**
-         * What it can do. A cold one is slow with each request as well as short of room: hence the square.
-         */
+        /** What it can do. A cold one is slow with each request and short of room: hence the square. */
         double capacity(long now) {
             return ready() ? member.weight() * correction * warmth(now) * warmth(now) : 0;
         }
@@ -248,8 +247,7 @@
             for (Backend backend : unmentioned) {
                 Member was = backends.get(backend).member;
                 heed(backends.get(backend), new Member(backend, was.zone(), was.kind(), was.cell(),
-                        Listed.GONE,
-                        was.weight(), was.startedAt()));
+                        Listed.GONE, was.weight(), was.startedAt()));
             }
         }
     }
@@ -329,8 +327,8 @@
     // Rests a path that fails far more than its peers (fast failers, dead and cut-off backends) and lightens
     // one that is far slower. Full backends fail too: partial failures rest few, and none under overload.
     private void judgePaths(long now, int region) {
-        double usualFailing = median(paths(region).stream().filter(p ->
-                p.tries >= ENOUGH).map(Path::failing).toList());
+        List<Path> judged = paths(region).stream().filter(p -> p.tries >= ENOUGH).toList();
+        double usualFailing = median(judged.stream().map(Path::failing).toList());
         double usualLatency = median(paths(region).stream().map(Path::latency).filter(l -> l > 0).toList());
         double mayRest = 0;
         for (BackendState state : backends.values()) {
@@ -342,8 +340,7 @@
         for (BackendState state : worstFirst) {
             Path path = state.paths[region];
             boolean failing = path.failing() > Math.max(FAILING, 3 * usualFailing);
-            boolean mayRestThis = path.failing() > DEAD
-                    || overloadedRounds == 0 && mayRest >= state.member.weight();
+            boolean room = path.failing() > DEAD || overloadedRounds == 0 && mayRest >= state.member.weight();
             if (path.restUntil > now || now < path.trialFrom) {
                 continue;
             }
@@ -352,13 +349,12 @@
                 path.health = TRIAL;
                 path.trialFrom = now + settings.channel().latest() + 2 * settings.period();
                 path.tries = path.failed = path.latencySum = 0;
-            } else if (failing && mayRestThis) {
+            } else if (failing && room) {
                 path.restUntil = now + (REST << Math.min(path.relapses++, 3));
                 path.health = 0;
                 mayRest -= state.member.weight();
                 actions.add(new Log("path rested: " + state.member.backend() + " from region " + region
-                        + " failed "
-                        + Math.round(100 * path.failing()) + "%"));
+                        + " failed " + Math.round(100 * path.failing()) + "%"));
             } else {
                 double slower = usualLatency > 0 ? path.latency() / usualLatency : 1;
                 path.health = Math.min(slower > OUTLIER ? 1 / slower : 1, path.health * TRIAL_GROWTH);
@@ -384,8 +380,8 @@
         for (BackendState state : settled) {
             if (Math.abs(state.load() / mean - 1) > NOISE) {
                 double factor = Math.pow(state.load() / mean, -HAND_OVER);
-                state.correction = Math.max(LEAST_CORRECTION, Math.min(MOST_CORRECTION,
-                        state.correction * factor));
+                double correction = state.correction * factor;
+                state.correction = Math.max(LEAST_CORRECTION, Math.min(MOST_CORRECTION, correction));
             }
         }
     }
@@ -423,8 +419,8 @@
         double[] demand = new double[regions];
         for (ProxyState proxy : proxies.values()) {
             for (int cls : group) {
-                demand[region(proxy.zone)] += proxy.joined ? proxy.usage[cls] * settings.classes().get(cls)
-                        .aim() : 0;
+                double asked = proxy.joined ? proxy.usage[cls] * settings.classes().get(cls).aim() : 0;
+                demand[region(proxy.zone)] += asked;
             }
         }
         double usual = Math.max(1, Arrays.stream(demand).sum() / regions);
@@ -449,8 +445,8 @@
                 Backend backend = state.member.backend();
                 if (room.get(backend) > 0 && open(group, state.member)) {
                     double least = LEAST_SHARE * room.get(backend) * asked / capacity;
-                    part.put(backend, confined(group) ? room.get(backend) : Math.max(least,
-                            left.get(backend)));
+                    double rest = Math.max(least, left.get(backend));
+                    part.put(backend, confined(group) ? room.get(backend) : rest);
                 }
             }
             double scale = Arrays.stream(demand).sum() / sum(part.values());
@@ -492,9 +488,7 @@
         return lines;
     }
 
-    private static double sum(Collection<Double> values) {
-        return values.stream().mapToDouble(v -> v).sum();
-    }
+    private static double sum(Collection<Double> v) { return v.stream().mapToDouble(d -> d).sum(); }
 
     // ---- 4. Levels --------------------------------------------------------------------------------------
 
@@ -503,9 +497,8 @@
     private void learnUsage(long now, double seconds) {
         proxies.values().removeIf(p -> !p.joined && now - p.leftAt > LEASE);
         for (ProxyState proxy : proxies.values()) {
-            for (int c = 0; c < levels.length; c++) {
-                proxy.usage[c] = proxy.joined ? blend(proxy.usage[c], proxy.newUsage[c] / seconds)
-                        : proxy.usage[c];
+            for (int c = 0; proxy.joined && c < levels.length; c++) {
+                proxy.usage[c] = blend(proxy.usage[c], proxy.newUsage[c] / seconds);
                 proxy.newUsage[c] = 0;
             }
         }
@@ -515,8 +508,8 @@
     private void setTotal(long now, double seconds) {
         List<BackendState> judged = backends.values().stream().filter(s -> s.ready()
                 && s.all.tries >= ENOUGH).toList();
-        double served = backends.values().stream().mapToDouble(s -> s.all.tries - s.all.failed).sum() * SMOOTH
-                / seconds;
+        double good = backends.values().stream().mapToDouble(s -> s.all.tries - s.all.failed).sum();
+        double served = good * SMOOTH / seconds;
         double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
         usualCapacity = Math.max(capacity, blend(usualCapacity, capacity));
         double known = proven * capacity;
@@ -531,7 +524,7 @@
             total = Double.isInfinite(total) ? total : Math.min(total, Math.max(AHEAD * served, known));
         } else if (roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
-            if (overloadedRounds == 1 && !was) {
+            if (!was) {
                 total = Math.min(total, Math.max(served * (jammed ? HEADROOM : 1), PROVEN_PART * known));
             } else if (overloadedRounds > PATIENCE) {
                 total *= HEADROOM;
@@ -607,15 +600,7 @@
         return OPEN_RATE;
     }
 
-    // ---- 5. Retries -------------------------------------------------------------------------------------
-
-    /** A further try after any failure only where a repeat is harmless, and none under overload. */
-    private Retry retry(int cls) {
-        boolean safe = settings.classes().get(cls).effect() == Effect.SAFE;
-        return Retry.ONCE_UNRUN;
-    }
-
-    // ---- 6. Sender --------------------------------------------------------------------------------------
+    // ---- 5. Sender --------------------------------------------------------------------------------------
 
     private void join(ProxyJoined joined) {
         ProxyState proxy = proxies.computeIfAbsent(joined.proxy(), p -> new ProxyState());
@@ -657,7 +642,7 @@
         account(now);
     }
 
-    /** Every order that reaches bound proxies passes here: {@code users} says which. */
+    /** Every order to bound proxies passes here: {@code users} says which. */
     private void order(Action action, Predicate<ProxyState> users) {
         actions.add(action);
         proxies.forEach((number, proxy) ->
@@ -704,10 +689,9 @@
     private void sendLevels() {
         for (int table : tables.keySet()) {
             for (int cls : groups.get(table / regions)) {
-                Admit admit = new Admit(table, 1 << cls, levels[cls], retry(cls));
+                Admit admit = new Admit(table, 1 << cls, levels[cls], RETRY);
                 Admit sent = sentLevels.get(table * levels.length + cls);
-                if (sent == null || sent.retry() != admit.retry()
-                        || Math.abs(sent.level() - admit.level()) > LEVEL_WORTH_SENDING * sent.level()) {
+                if (sent == null || Math.abs(sent.level() - admit.level()) > LEVEL_WORTH_SENDING * sent.level()) {
                     sentLevels.put(table * levels.length + cls, admit);
                     order(admit, p -> region(p.zone) == table % regions);
                 }
@@ -730,8 +714,8 @@
     }
 
     private double replyLines() {
-        return proxies.values().stream().filter(p -> p.lines > 0)
-                .mapToDouble(p -> p.lines + 1 + settings.channel().head()).sum();
+        double head = settings.channel().head() + 1;
+        return proxies.values().stream().mapToDouble(p -> p.lines > 0 ? p.lines + head : 0).sum();
     }
 
     private void hearApplied(Applied applied) {
@@ -751,7 +735,7 @@
     private void keepSlices() {
         sendWithdrawals();
         List<Backend> usable = new ArrayList<>();
-        backends.forEach((backend, state) -> usable.addAll(state.ready() ? List.of(backend) : List.of()));
+        backends.values().stream().filter(BackendState::ready).forEach(s -> usable.add(s.member.backend()));
         slices.forEach((slice, lines) -> {
             if (!usable.isEmpty() && lines.keySet().stream().noneMatch(usable::contains)) {
                 Backend heir = usable.get(slice % usable.size());
