Count failed tries as slow ones when paths and loads are weighed

Cause: only good answers were timed, so a slow backend whose tries time out looked as fast as its peers.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -26,6 +26,7 @@
     private static final double FAILING = 0.25; // share failed, and 3 x its peers', that rests a path
     private static final double DEAD = 0.85; // a path failing this share serves nobody: it may always rest
     private static final double REST_MOST = 0.25; // panic floor: weight resting for partial failures
+    private static final double FAILED_AS = 1e9; // latency, ns, that a failed try counts as
     private static final double OUTLIER = 2.2; // times slower than the median: lighter than hand-overs allow
     private static final long REST = 4_000_000_000L; // first rest, ns; doubled at most thrice by relapses
     private static final double TRIAL = 0.1; // part of its weight that a path gets on trial
@@ -88,7 +89,7 @@
 
         double failing() { return tries < ENOUGH ? 0 : failed / tries; }
 
-        double latency() { return tries - failed < ENOUGH ? 0 : latencySum / (tries - failed); }
+        double latency() { return tries < ENOUGH ? 0 : (latencySum + failed * FAILED_AS) / tries; }
     }
 
     /** What is known of one backend; {@code all} sums its paths, one for each region. */
@@ -735,7 +736,7 @@
     private void keepSlices() {
         sendWithdrawals();
         List<Backend> usable = new ArrayList<>();
-        backends.values().stream().filter(BackendState::ready).forEach(s -> usable.add(s.member.backend()));
+        backends.forEach((backend, s) -> usable.addAll(s.ready() ? List.of(backend) : List.of()));
         slices.forEach((slice, lines) -> {
             if (!usable.isEmpty() && lines.keySet().stream().noneMatch(usable::contains)) {
                 Backend heir = usable.get(slice % usable.size());
