--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -643,7 +643,7 @@
         account(now);
     }
 
-    /** Every order to bound proxies passes here: {@code users} says which. */
+    /** Every order to bound proxies passes here. */
     private void order(Action action, Predicate<ProxyState> users) {
         actions.add(action);
         proxies.forEach((number, proxy) ->
@@ -692,7 +692,8 @@
             for (int cls : groups.get(table / regions)) {
                 Admit admit = new Admit(table, 1 << cls, levels[cls], RETRY);
                 Admit sent = sentLevels.get(table * levels.length + cls);
-                if (sent == null || Math.abs(sent.level() - admit.level()) > LEVEL_WORTH_SENDING * sent.level()) {
+                double off = sent == null ? 1 : Math.abs(admit.level() / sent.level() - 1);
+                if (off > LEVEL_WORTH_SENDING) {
                     sentLevels.put(table * levels.length + cls, admit);
                     order(admit, p -> region(p.zone) == table % regions);
                 }
