--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -27,7 +27,7 @@
     private static final double DEAD = 0.85; // a path failing this share serves nobody: it may always rest
     private static final double REST_MOST = 0.25; // panic floor: weight resting for partial failures
     private static final double FAILED_AS = 1e9; // latency, ns, that a failed try counts as
-    private static final double OUTLIER = 2.2; // times slower than the median: lighter than hand-overs allow
+    private static final double OUTLIER = 1.9; // times slower than the median: lighter than hand-overs allow
     private static final long REST = 4_000_000_000L; // first rest, ns; doubled at most thrice by relapses
     private static final double TRIAL = 0.1; // part of its weight that a path gets on trial
     private static final double TRIAL_GROWTH = 2; // growth of that part in a round that goes well
@@ -302,9 +302,7 @@
 
     /** A round's lessons: paths, loads, usage, total. */
     private void learn(long now) {
-        if (!reportsCame) {
-            return;
-        }
+        if (!reportsCame) { return; }
         reportsCame = false;
         roundsHeard++;
         double seconds = learnedAt == 0 ? Math.max(ROUND, settings.period()) / SECOND
@@ -333,8 +331,8 @@
         double usualLatency = median(paths(region).stream().map(Path::latency).filter(l -> l > 0).toList());
         double mayRest = 0;
         for (BackendState state : backends.values()) {
-            double weight = state.ready() ? state.member.weight() : 0;
-            mayRest += state.paths[region].restUntil > 0 ? -weight : REST_MOST * weight;
+            double part = state.paths[region].restUntil > 0 ? -1 : REST_MOST;
+            mayRest += state.ready() ? part * state.member.weight() : 0;
         }
         List<BackendState> worstFirst = new ArrayList<>(backends.values());
         worstFirst.sort(Comparator.comparing(s -> -s.paths[region].failing()));
