Cap a cold backend's part of any table; count unheard proxies as they joined

A cold backend now has at most three times its part of all demand in a table, and a proxy counts with the rate it joined with until heard. It may leave cold backends idle where one zone has most of the traffic.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -39,6 +39,7 @@
     // Tables.
     private static final double ZONE_TABLE_PRICE = 0.02; // crossing price from which zones have own tables
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
+    private static final double COLD_MOST = 3; // times its part of demand, that a cold backend has in a table
     private static final double LEAST_SHARE = 0.05; // of an even share, that open classes leave everywhere
     private static final double WORTH_SENDING = 0.1; // smallest relative change of a line that is sent
     private static final double LEVEL_WORTH_SENDING = 0.03; // and of a level
@@ -99,7 +100,7 @@
         Path all = new Path();
         double correction = 1;
         double busy, lastBusy, quiet;
-        boolean withdrawn;
+        boolean withdrawn, cold;
 
         boolean ready() { return member.listed() == Listed.READY; }
 
@@ -125,6 +126,7 @@
 
         /** What it can do. A cold one is slow with each request and short of room: hence the square. */
         double capacity(long now) {
+            cold = warmth(now) < 1;
             return ready() ? member.weight() * correction * warmth(now) * warmth(now) : 0;
         }
 
@@ -137,7 +139,7 @@
     /** One proxy, joined or departed within the lease. */
     private static final class ProxyState {
         int zone;
-        boolean joined;
+        boolean joined, heard; // before a proxy is heard, the rate it joined with counts
         long leftAt;
         double[] usage, newUsage; // by class, requests a second and since the last round
         int lines;
@@ -201,9 +203,7 @@
             hearApplied(applied);
         } else if (event instanceof SliceGiven given) {
             slices.remove(given.slice());
-            if (given.given()) {
-                slices.put(given.slice(), new TreeMap<>());
-            }
+            if (given.given()) { slices.put(given.slice(), new TreeMap<>()); }
         } else if (event instanceof SliceLine line && slices.containsKey(line.slice())) {
             slices.get(line.slice()).put(line.backend(), line.weight());
         }
@@ -464,9 +464,7 @@
         TreeMap<Backend, Double> lines = new TreeMap<>();
         part.forEach((backend, share) ->
                 lines.put(backend, share * backends.get(backend).paths[region].health));
-        if (sum(lines.values()) <= 0) {
-            lines.putAll(part);
-        }
+        if (sum(lines.values()) <= 0) { lines.putAll(part); }
         double all = Arrays.stream(demand).sum();
         double scale = all / sum(lines.values());
         double[] room = new double[regions];
@@ -481,7 +479,10 @@
             flow[r] = r == region ? own : (demand[region] - own) * Math.max(0, room[r] - demand[r]) / spare;
             flow[r] = room[r] <= 0 ? 0 : flow[r] / room[r] / demand[region] + TRICKLE / all;
         }
-        lines.replaceAll((backend, share) -> share * flow[region(backends.get(backend).member.zone())]);
+        lines.replaceAll((backend, share) -> {
+            double weight = share * flow[region(backends.get(backend).member.zone())];
+            return backends.get(backend).cold ? Math.min(weight, COLD_MOST * share / all) : weight;
+        });
         double sum = sum(lines.values());
         lines.replaceAll((backend, weight) -> 100 * weight / sum);
         return lines;
@@ -496,7 +497,8 @@
     private void learnUsage(long now, double seconds) {
         proxies.values().removeIf(p -> !p.joined && now - p.leftAt > LEASE);
         for (ProxyState proxy : proxies.values()) {
-            for (int c = 0; proxy.joined && c < levels.length; c++) {
+            proxy.heard |= sum(Arrays.stream(proxy.newUsage).boxed().toList()) > 0;
+            for (int c = 0; proxy.joined && proxy.heard && c < levels.length; c++) {
                 proxy.usage[c] = blend(proxy.usage[c], proxy.newUsage[c] / seconds);
                 proxy.newUsage[c] = 0;
             }
@@ -564,9 +566,7 @@
     /** Shares the part out, worthiest class first; a class's rest becomes one even level for all. */
     private void setLevels() {
         double demand = proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
-        if (total > LIFT * demand) {
-            total = Double.POSITIVE_INFINITY;
-        }
+        if (total > LIFT * demand) { total = Double.POSITIVE_INFINITY; }
         List<Integer> byWorth = new ArrayList<>();
         for (int c = 0; c < levels.length; c++) {
             byWorth.add(c);
@@ -605,6 +605,7 @@
         ProxyState proxy = proxies.computeIfAbsent(joined.proxy(), p -> new ProxyState());
         proxy.zone = joined.zone();
         proxy.joined = true;
+        proxy.heard = false;
         if (proxy.usage == null) {
             proxy.usage = new double[levels.length];
             proxy.newUsage = new double[levels.length];
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -169,6 +169,35 @@
         assertTrue(coldShare < 0.2, "share of cold backends " + coldShare);
     }
 
+    @Test
+    void aColdBackendAloneInItsZoneGetsLittleOwnZonePreference() {
+        stand.start(8, 4);
+        List<ControlApi.Member> lost = new ArrayList<>();
+        for (int i = 0; i < 8; i += 2) {
+            lost.add(Stand.member(i, 0, Listed.GONE, 0));
+        }
+        stand.hear(new Members(ListKind.DELTA, 2, lost));
+        for (int i = 0; i < 5; i++) {
+            stand.usage(1, 0, 90);
+            stand.second();
+        }
+        stand.hear(new Members(ListKind.DELTA, 3, List.of(Stand.member(0, 0, Listed.READY, stand.now))));
+        assertTrue(stand.share(0, 0, 0) > 0 && stand.share(0, 0, 0) < 0.05, "share " + stand.share(0, 0, 0));
+    }
+
+    @Test
+    void aProxyNotYetHeardCountsWithTheRateItJoinedWith() {
+        stand.start(8, 1);
+        stand.now += 300 * MS;
+        stand.hear(new ProxyJoined(1, 1, 200, true));
+        for (int i = 0; i < 4; i++) {
+            stand.usage(0, 0, 20);
+            stand.second();
+        }
+        assertTrue(stand.share(1, 0, 0) > 0.05, "a heavy zone spills over before it is heard: "
+                + stand.share(1, 0, 0));
+    }
+
     @Test
     void ownZoneIsPreferredWhereCrossingHasAPrice() {
         stand.start(8, 2);
