--- /dev/null
+++ b/src/main/java/rowanmoor/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package rowanmoor.cli;
--- /dev/null
+++ b/src/main/java/rowanmoor/package-info.java
@@ -0,0 +1,2 @@
+/** The decision module and its interface, free of any wire. */
+package rowanmoor;
--- /dev/null
+++ b/src/test/java/rowanmoor/DocsTest.java
@@ -0,0 +1,60 @@
+package rowanmoor;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rowanmoor.TestSettings.MS;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Log;
+import rowanmoor.ControlApi.Members;
+
+/** The on-call page quotes only log lines that the module emits. */
+class DocsTest {
+
+    @Test
+    void everyQuotedLogLineIsEmitted() throws IOException {
+        TreeSet<String> quoted = new TreeSet<>();
+        for (String line : Files.readAllLines(Path.of("docs/on-call.md"))) {
+            String[] cells = line.split("\\|");
+            Matcher matcher = Pattern.compile("`([^`]+)`").matcher(cells.length > 2 ? cells[2] : "");
+            while (matcher.find()) {
+                quoted.add(matcher.group(1));
+            }
+        }
+        assertEquals(5, quoted.size(), quoted.toString());
+        String emitted = emitted();
+        for (String words : quoted) {
+            assertTrue(emitted.contains(words), words + " is not in:\n" + emitted);
+        }
+    }
+
+    /** What the module logs through a day with a sick backend, an overload, a loss and a return. */
+    private static String emitted() {
+        Stand stand = new Stand(TestSettings.plain()).start(8, 4);
+        for (int i = 0; i < 4; i++) {
+            stand.report(8, 2, b -> b == 2 ? 9 : 0, b -> 100 * MS);
+        }
+        for (int i = 0; i < 4; i++) {
+            stand.report(8, 2, b -> 4, b -> 900 * MS);
+        }
+        for (int i = 0; i < 4; i++) {
+            stand.report(8, 2, b -> 0, b -> 100 * MS);
+        }
+        stand.hear(new Members(ListKind.DELTA, 2, List.of(Stand.member(3, 1, Listed.GONE, 0))));
+        stand.second();
+        stand.hear(new Members(ListKind.DELTA, 3, List.of(Stand.member(3, 1, Listed.READY, stand.now))));
+        StringBuilder text = new StringBuilder();
+        stand.all.stream().filter(Log.class::isInstance).forEach(a ->
+                text.append(((Log) a).text()).append('\n'));
+        return text.toString();
+    }
+}
