--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -99,7 +99,7 @@
         Path[] paths = newPaths();
         Path all = new Path();
         double correction = 1;
-        double busy, lastBusy, service, quiet;
+        double busy, lastBusy, quiet;
         boolean withdrawn, cold;
 
         boolean ready() { return member.listed() == Listed.READY; }
@@ -108,7 +108,7 @@
         void forget() {
             paths = newPaths();
             all = new Path();
-            busy = service = 0;
+            busy = 0;
         }
 
         private Path[] newPaths() {
@@ -283,14 +283,10 @@
     }
 
     private void hearLoad(BackendState state, List<Double> load) {
-        ReportColumns columns = settings.columns();
-        if (columns.busy() >= 0 && columns.busy() < load.size()) {
-            state.lastBusy = load.get(columns.busy());
-            state.busy = state.busy == 0 ? state.lastBusy : blend(state.busy, state.lastBusy);
-        }
-        if (columns.latencyMs() >= 0 && columns.latencyMs() < load.size()) {
-            double service = load.get(columns.latencyMs());
-            state.service = state.service == 0 ? service : blend(state.service, service);
+        int column = settings.columns().busy();
+        if (column >= 0 && column < load.size()) {
+            state.lastBusy = load.get(column);
+            state.busy = state.busy == 0 ? load.get(column) : blend(state.busy, load.get(column));
         }
     }
 
@@ -333,7 +329,6 @@
         List<Path> judged = paths(region).stream().filter(p -> p.tries >= ENOUGH).toList();
         double usualFailing = median(judged.stream().map(Path::failing).toList());
         double usualLatency = median(paths(region).stream().map(Path::latency).filter(l -> l > 0).toList());
-        double usualService = median(backends.values().stream().map(s -> s.service).filter(v -> v > 0).toList());
         double mayRest = 0;
         for (BackendState state : backends.values()) {
             double part = state.paths[region].restUntil > 0 ? -1 : REST_MOST;
@@ -360,8 +355,7 @@
                 actions.add(new Log("path rested: " + state.member.backend() + " from region " + region
                         + " failed " + Math.round(100 * path.failing()) + "%"));
             } else {
-                double slower = Math.max(usualLatency > 0 ? path.latency() / usualLatency : 1,
-                        usualService > 0 ? state.service / usualService : 1);
+                double slower = usualLatency > 0 ? path.latency() / usualLatency : 1;
                 path.health = Math.min(slower > OUTLIER ? 1 / slower : 1, path.health * TRIAL_GROWTH);
                 path.relapses = path.health == 1 ? 0 : path.relapses;
             }
