Rest only paths that fail six in ten of their tries

Cause: full backends fail too, and each one rested filled the next; lighter failures are met by weight, since a failed try counts as a slow one. It may hurt where a backend fails half of its tries at once without load.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -21,9 +21,9 @@
     private static final double SECOND = 1e9;
     private static final long ROUND = 1_000_000_000L; // shortest round (the design's pace), ns
     // Health and speed.
-    private static final double SMOOTH = 0.35; // weight of a new second in smoothed figures
+    private static final double SMOOTH = 0.35; // weight of a new round: about three count
     private static final double ENOUGH = 8; // tries over the smoothed span below which nothing is judged
-    private static final double FAILING = 0.4; // share failed, and 3 x its peers', that rests a path
+    private static final double FAILING = 0.6; // share failed, and 3 x its peers', that rests a path
     private static final double DEAD = 0.85; // a path failing this share serves nobody: it may always rest
     private static final double REST_MOST = 0.25; // panic floor: weight resting for partial failures
     private static final double FAILED_AS = 1e9; // latency, ns, that a failed try counts as
@@ -79,12 +79,12 @@
         int relapses;
         double health = 1;
 
-        void learn(double smooth) {
+        void learn() {
             lastFailing = newTries < ENOUGH / 2 ? failing() : newFailed / newTries;
             lastLatency = newTries - newFailed < ENOUGH / 2 ? 0 : newLatencySum / (newTries - newFailed);
-            tries += newTries - smooth * tries;
-            failed += newFailed - smooth * failed;
-            latencySum += newLatencySum - smooth * latencySum;
+            tries += newTries - SMOOTH * tries;
+            failed += newFailed - SMOOTH * failed;
+            latencySum += newLatencySum - SMOOTH * latencySum;
             newTries = newFailed = newLatencySum = 0;
         }
 
@@ -153,7 +153,6 @@
     private final Settings settings;
     private final Random random;
     private final int regions;
-    private final double smooth; // weight of a new round
     private final List<List<Integer>> groups = new ArrayList<>();
     private final TreeMap<Backend, BackendState> backends = new TreeMap<>();
     private final TreeMap<Integer, ProxyState> proxies = new TreeMap<>();
@@ -178,7 +177,6 @@
         this.settings = settings;
         this.random = new Random(seed);
         this.regions = settings.crossZonePrice() >= ZONE_TABLE_PRICE ? settings.zones() : 1;
-        this.smooth = 1 - Math.pow(1 - SMOOTH, Math.max(ROUND, settings.period()) / SECOND);
         this.levels = new double[settings.classes().size()];
         Arrays.fill(levels, openLevel());
         groupClasses();
@@ -292,7 +290,7 @@
         }
     }
 
-    private double blend(double old, double fresh) { return old + smooth * (fresh - old); }
+    private static double blend(double old, double fresh) { return old + SMOOTH * (fresh - old); }
 
     private void probe() {
         for (BackendState state : backends.values()) {
@@ -311,9 +309,9 @@
                 : (now - learnedAt) / SECOND;
         learnedAt = now;
         for (BackendState state : backends.values()) {
-            state.all.learn(smooth);
+            state.all.learn();
             for (Path path : state.paths) {
-                path.learn(smooth);
+                path.learn();
             }
         }
         for (int region = 0; region < regions; region++) {
@@ -512,7 +510,7 @@
         List<BackendState> judged = backends.values().stream().filter(s -> s.ready()
                 && s.all.tries >= ENOUGH).toList();
         double good = backends.values().stream().mapToDouble(s -> s.all.tries - s.all.failed).sum();
-        double served = good * smooth / seconds;
+        double served = good * SMOOTH / seconds;
         double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
         usualCapacity = Math.max(capacity, blend(usualCapacity, capacity));
         double known = proven * capacity;
