Count a failed try as three seconds while most backends are jammed

Cause: in a jam good answers take two seconds themselves, and a full backend that refuses at once looked quick beside them.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -27,6 +27,7 @@
     private static final double DEAD = 0.85; // a path failing this share serves nobody: it may always rest
     private static final double REST_MOST = 0.25; // panic floor: weight resting for partial failures
     private static final double FAILED_AS = 1e9; // latency, ns, that a failed try counts as
+    private static final double JAM_FAILED_AS = 3e9; // in a jam, where good answers are slow themselves
     private static final double OUTLIER = 1.9; // times slower than the median: lighter than hand-overs allow
     private static final long REST = 4_000_000_000L; // first rest, ns; doubled at most thrice by relapses
     private static final double TRIAL = 0.1; // part of its weight that a path gets on trial
@@ -71,7 +72,7 @@
     private static final double MESSAGE_SPARE = 1.1; // on the gap between messages where they are limited
 
     /** How the joined proxies of one region fare at one backend. */
-    private static final class Path {
+    private final class Path {
         double tries, failed, latencySum; // smoothed over rounds
         double newTries, newFailed, newLatencySum; // since the last round
         double lastFailing, lastLatency; // of the last round alone
@@ -90,7 +91,7 @@
 
         double failing() { return tries < ENOUGH ? 0 : failed / tries; }
 
-        double latency() { return tries < ENOUGH ? 0 : (latencySum + failed * FAILED_AS) / tries; }
+        double latency() { return tries < ENOUGH ? 0 : (latencySum + failed * failedAs()) / tries; }
     }
 
     /** What is known of one backend; {@code all} sums its paths, one for each region. */
@@ -270,6 +271,8 @@
 
     // ---- 2. Health and speed ----------------------------------------------------------------------------
 
+    private double failedAs() { return jammed ? JAM_FAILED_AS : FAILED_AS; }
+
     private int region(int zone) { return regions == 1 ? 0 : zone; }
 
     private void hearTally(BackendState state, Tally tally) {
@@ -310,9 +313,7 @@
         learnedAt = now;
         for (BackendState state : backends.values()) {
             state.all.learn();
-            for (Path path : state.paths) {
-                path.learn();
-            }
+            Arrays.stream(state.paths).forEach(Path::learn);
         }
         for (int region = 0; region < regions; region++) {
             judgePaths(now, region);
@@ -645,8 +646,7 @@
     /** Every order to bound proxies passes here. */
     private void order(Action action, Predicate<ProxyState> users) {
         actions.add(action);
-        proxies.forEach((number, proxy) ->
-                proxy.lines += proxy.joined && !joining.contains(number) && users.test(proxy) ? 1 : 0);
+        proxies.forEach((n, p) -> p.lines += p.joined && !joining.contains(n) && users.test(p) ? 1 : 0);
     }
 
     /** Drained and gone backends are shut out; a ready one is let in again as its lines are set anew. */
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -120,6 +120,15 @@
         assertTrue(stand.share(0, 0, 2) < stand.share(0, 0, 4) / 4);
     }
 
+    @Test
+    void aBackendWhoseTriesTimeOutDoesNotLookQuick() {
+        stand.start(8, 2);
+        for (int i = 0; i < 6; i++) {
+            stand.report(8, 2, b -> b == 2 ? 4 : 0, b -> 100 * MS);
+        }
+        assertTrue(stand.share(0, 0, 2) < stand.share(0, 0, 4) / 3, "share " + stand.share(0, 0, 2));
+    }
+
     @Test
     void handOversStayWithinHalfAndTwiceListed() {
         stand.start(8, 2);
