Hold very cold backends back while enough are warm

Under 0.35 of warmth (0.6 under overload) a backend now stays withdrawn if a third of the ready ones are warmer. It may hurt where capacity is short and the cold ones could have carried a little.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -40,6 +40,8 @@
     // Tables.
     private static final double ZONE_TABLE_PRICE = 0.02; // crossing price from which zones have own tables
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
+    private static final double HOLD = 0.35; // warmth below which a backend stays out, if enough are warm
+    private static final double HOLD_IN_OVERLOAD = 0.6; // and under overload
     private static final double COLD_MOST = 3; // times its part of demand, that a cold backend has in a table
     private static final double LEAST_SHARE = 0.05; // of an even share, that open classes leave everywhere
     private static final double WORTH_SENDING = 0.1; // smallest relative change of a line that is sent
@@ -101,7 +103,7 @@
         Path all = new Path();
         double correction = 1;
         double busy, lastBusy, quiet;
-        boolean withdrawn, cold;
+        boolean withdrawn, cold, held;
 
         boolean ready() { return member.listed() == Listed.READY; }
 
@@ -128,7 +130,7 @@
         /** What it can do. A cold one is slow with each request and short of room: hence the square. */
         double capacity(long now) {
             cold = warmth(now) < 1;
-            return ready() ? member.weight() * correction * warmth(now) * warmth(now) : 0;
+            return ready() && !held ? member.weight() * correction * warmth(now) * warmth(now) : 0;
         }
 
         boolean isQuiet() { return all.lastLatency > 0 && all.lastLatency < QUIET * quiet; }
@@ -137,7 +139,6 @@
         double load() { return settings.columns().busy() >= 0 ? busy : all.latency(); }
     }
 
-    /** One proxy, joined or departed within the lease. */
     private static final class ProxyState {
         int zone;
         boolean joined, heard; // before a proxy is heard, the rate it joined with counts
@@ -183,7 +184,6 @@
         groupClasses();
     }
 
-    /** Takes in one event; orders follow from {@link #decide}. */
     public void on(long now, Event event) {
         if (event instanceof Members members) {
             hearList(now, members);
@@ -255,9 +255,7 @@
     }
 
     private void heed(BackendState state, Member member) {
-        if (state.member != null && member.startedAt() > state.member.startedAt()) {
-            state.forget();
-        }
+        if (state.member != null && member.startedAt() > state.member.startedAt()) { state.forget(); }
         urgent |= state.member == null || !state.member.equals(member);
         state.member = member;
     }
@@ -297,9 +295,7 @@
 
     private void probe() {
         for (BackendState state : backends.values()) {
-            if (settings.mayProbe() && state.ready()) {
-                actions.add(new Probe(state.member.backend()));
-            }
+            if (settings.mayProbe() && state.ready()) { actions.add(new Probe(state.member.backend())); }
         }
     }
 
@@ -315,9 +311,7 @@
             state.all.learn();
             Arrays.stream(state.paths).forEach(Path::learn);
         }
-        for (int region = 0; region < regions; region++) {
-            judgePaths(now, region);
-        }
+        for (int region = 0; region < regions; region++) { judgePaths(now, region); }
         handOver(now);
         learnUsage(now, seconds);
         setTotal(now, seconds);
@@ -622,6 +616,7 @@
                 .linesPerSecond());
         drainedAt = now;
         proxies.values().forEach(p -> p.lines = 0);
+        holdCold(now);
         TreeMap<Integer, TreeMap<Backend, Double>> laid = layTables(now);
         if ((round || urgent || !joining.isEmpty()) && now >= nextMessage) {
             sendWithdrawals();
@@ -649,11 +644,20 @@
         proxies.forEach((n, p) -> p.lines += p.joined && !joining.contains(n) && users.test(p) ? 1 : 0);
     }
 
-    /** Drained and gone backends are shut out; a ready one is let in again as its lines are set anew. */
+    // A very cold backend stays out while enough warm ones are there: in a jam proxies shun those that fail,
+    // and all that is left to draw may be the cold one, whatever its weight.
+    private void holdCold(long now) {
+        double least = overloadedRounds > 0 ? HOLD_IN_OVERLOAD : HOLD;
+        List<BackendState> ready = backends.values().stream().filter(BackendState::ready).toList();
+        long warm = ready.stream().filter(s -> s.warmth(now) >= least).count();
+        ready.forEach(s -> s.held = s.warmth(now) < least && warm * 3 >= ready.size());
+    }
+
+    /** Drained, gone and held backends are shut out; others are let in as their lines are set anew. */
     private void sendWithdrawals() {
         for (BackendState state : backends.values()) {
-            if (state.withdrawn == state.ready()) {
-                state.withdrawn = !state.ready();
+            if (state.withdrawn == (state.ready() && !state.held)) {
+                state.withdrawn = !state.withdrawn;
                 actions.add(new Log("backend " + state.member.backend() + (state.withdrawn
                         ? " withdrawn: listed "
                         + state.member.listed() : " let in again")));
@@ -662,7 +666,6 @@
         }
     }
 
-    /** Lines that are off, the worst first, as long as the channel has room. */
     private void sendLines(TreeMap<Integer, TreeMap<Backend, Double>> laid, double mostWaiting) {
         List<Change> changes = new ArrayList<>();
         laid.forEach((table, lines) -> {
@@ -721,9 +724,7 @@
 
     private void hearApplied(Applied applied) {
         if (marks.stream().anyMatch(m -> m.number() == applied.mark())) {
-            while (marks.peek().number() != applied.mark()) {
-                marks.poll();
-            }
+            while (marks.peek().number() != applied.mark()) { marks.poll(); }
             linesLeft = Math.max(linesLeft, marks.peek().linesBefore());
         }
     }
--- a/src/test/java/rowanmoor/DocsTest.java
+++ b/src/test/java/rowanmoor/DocsTest.java
@@ -52,6 +52,9 @@
         stand.hear(new Members(ListKind.DELTA, 2, List.of(Stand.member(3, 1, Listed.GONE, 0))));
         stand.second();
         stand.hear(new Members(ListKind.DELTA, 3, List.of(Stand.member(3, 1, Listed.READY, stand.now))));
+        for (int i = 0; i < 10; i++) {
+            stand.second();
+        }
         StringBuilder text = new StringBuilder();
         stand.all.stream().filter(Log.class::isInstance).forEach(a ->
                 text.append(((Log) a).text()).append('\n'));
