--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -14,7 +14,7 @@
 
 /**
  * One controller's decisions. All types, events, actions and settings are those of {@link ControlApi}.
- * Sections: members, health and speed, tables, levels, retries, sender. docs/design.md gives the reasons.
+ * Sections: members, health and speed, tables, levels, sender. docs/design.md gives the reasons.
  */
 public final class Logic {
 
