Lay tables only when orders go out; say settled things once

Tables were laid on every batch, though nothing was sent for most; each group's demand was summed twice; the tightest aim, the classes by worth and the round's length were worked out anew each round. Asking for a capacity or an overload no longer changes state. Who uses a table is said in one place. Two comments named rounds where the growth is by the second. Tests share one set-up; their assertions stand.

--- a/src/main/java/rowanmoor/ControlApi.java
+++ b/src/main/java/rowanmoor/ControlApi.java
@@ -70,8 +70,7 @@
 
     /** What the joined proxies of a zone met at a backend. {@code latency} is 0 if no try succeeded. */
     record Tally(Backend backend, int zone, long tries, long failed, long latency, long span,
-            List<Double> load)
-            implements Event { }
+            List<Double> load) implements Event { }
 
     /** What came to a proxy. {@code failed} were let in and never answered. */
     record Usage(int proxy, int cls, long requests, long failed, long span) implements Event { }
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import rowanmoor.ControlApi.*;
 
 /**
@@ -50,12 +51,12 @@
     private static final double OVERLOAD_FAILED = 0.05; // overload: share of tries that fail
     private static final double OVERLOAD_SLOWER = 2; // or: times slower than when quiet
     private static final double HEADROOM = 0.9; // the total starts at this part of the served rate
-    private static final double RAISE = 1.1; // growth of the total in a calm round
+    private static final double RAISE = 1.1; // growth of the total in a calm second
     private static final double PROVEN_PART = 0.75; // part of the best rate served calmly so far: safe
-    private static final double FAST_RAISE = 1.3; // growth of the total in a calm round below that
+    private static final double FAST_RAISE = 1.3; // the most that it grows in one
     private static final double QUIET = 1.4; // times the quiet latency up to which a backend counts as quiet
     private static final double FULL = 0.85; // reported use up to which the total may grow faster
-    private static final double PAST_FULL = 1.02; // growth of the total past that
+    private static final double PAST_FULL = 1.02; // growth of the total in a second past that
     private static final double AHEAD = 1.5; // times the served rate: the total does not run ahead
     private static final double DRAIN = 0.7; // part of the total let in while most backends are jammed
     private static final double JAM_FAILED = 0.3; // jammed: share that fail, or answers beyond an aim
@@ -103,7 +104,7 @@
         Path all = new Path();
         double correction = 1;
         double busy, lastBusy, quiet;
-        boolean withdrawn, cold, held;
+        boolean withdrawn, held;
 
         boolean ready() { return member.listed() == Listed.READY; }
 
@@ -129,10 +130,14 @@
 
         /** What it can do. A cold one is slow with each request and short of room: hence the square. */
         double capacity(long now) {
-            cold = warmth(now) < 1;
             return ready() && !held ? member.weight() * correction * warmth(now) * warmth(now) : 0;
         }
 
+        void learnQuiet() {
+            double latency = all.latency();
+            quiet = quiet == 0 || latency > 0 && latency < quiet ? latency : quiet;
+        }
+
         boolean isQuiet() { return all.lastLatency > 0 && all.lastLatency < QUIET * quiet; }
 
         /** How loaded it is, on whatever scale the site reports; 0 if unknown. */
@@ -155,6 +160,9 @@
     private final Settings settings;
     private final Random random;
     private final int regions;
+    private final long roundLength;
+    private final double tightestAim;
+    private final List<Integer> byWorth; // classes, the worthiest first
     private final List<List<Integer>> groups = new ArrayList<>();
     private final TreeMap<Backend, BackendState> backends = new TreeMap<>();
     private final TreeMap<Integer, ProxyState> proxies = new TreeMap<>();
@@ -179,6 +187,10 @@
         this.settings = settings;
         this.random = new Random(seed);
         this.regions = settings.crossZonePrice() >= ZONE_TABLE_PRICE ? settings.zones() : 1;
+        this.roundLength = Math.max(ROUND, settings.period());
+        this.tightestAim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
+        this.byWorth = IntStream.range(0, settings.classes().size()).boxed()
+                .sorted(Comparator.comparing(c -> -settings.classes().get(c).worth())).toList();
         this.levels = new double[settings.classes().size()];
         Arrays.fill(levels, openLevel());
         groupClasses();
@@ -215,7 +227,7 @@
         askForList(now);
         boolean round = now >= nextRound;
         if (round) {
-            nextRound = now + Math.max(ROUND, settings.period());
+            nextRound = now + roundLength;
             actions.add(new TimerAt(nextRound, 0));
             probe();
             learn(now);
@@ -304,8 +316,7 @@
         if (!reportsCame) { return; }
         reportsCame = false;
         roundsHeard++;
-        double seconds = learnedAt == 0 ? Math.max(ROUND, settings.period()) / SECOND
-                : (now - learnedAt) / SECOND;
+        double seconds = (learnedAt == 0 ? roundLength : now - learnedAt) / SECOND;
         learnedAt = now;
         for (BackendState state : backends.values()) {
             state.all.learn();
@@ -407,6 +418,8 @@
 
     private int table(int group, int region) { return group * regions + region; }
 
+    private Predicate<ProxyState> users(int table) { return p -> region(p.zone) == table % regions; }
+
     // What joined proxies ask of a group, by region, in work as far as aims tell of it. A region with none is
     // taken for a usual one: its proxies may return, and must not meet tables laid for nobody.
     private double[] demand(List<Integer> group) {
@@ -427,13 +440,13 @@
         TreeMap<Backend, Double> room = new TreeMap<>();
         backends.forEach((backend, state) -> room.put(backend, state.capacity(now)));
         double capacity = sum(room.values());
-        double asked = groups.stream().mapToDouble(g -> Arrays.stream(demand(g)).sum()).sum();
+        List<double[]> demands = groups.stream().map(this::demand).toList();
+        double asked = demands.stream().mapToDouble(d -> Arrays.stream(d).sum()).sum();
         TreeMap<Backend, Double> left = new TreeMap<>(room);
         left.replaceAll((backend, can) -> can * asked / Math.max(1e-9, capacity));
         TreeMap<Integer, TreeMap<Backend, Double>> laid = new TreeMap<>();
         for (int g = 0; g < groups.size(); g++) {
             List<Integer> group = groups.get(g);
-            double[] demand = demand(group);
             TreeMap<Backend, Double> part = new TreeMap<>();
             for (BackendState state : backends.values()) {
                 Backend backend = state.member.backend();
@@ -443,11 +456,11 @@
                     part.put(backend, confined(group) ? room.get(backend) : rest);
                 }
             }
-            double scale = Arrays.stream(demand).sum() / sum(part.values());
+            double scale = Arrays.stream(demands.get(g)).sum() / sum(part.values());
             part.replaceAll((backend, share) -> share * scale);
             part.forEach((backend, share) -> left.merge(backend, -share, Double::sum));
             for (int r = 0; r < regions; r++) {
-                laid.put(table(g, r), lines(r, part, demand));
+                laid.put(table(g, r), lines(now, r, part, demands.get(g)));
             }
         }
         return laid;
@@ -455,7 +468,8 @@
 
     // One table: its region's own backends as far as they have room, the rest where others leave some. What
     // the region's proxies cannot reach has no room for them: their share moves on, if need be far.
-    private TreeMap<Backend, Double> lines(int region, TreeMap<Backend, Double> part, double[] demand) {
+    private TreeMap<Backend, Double> lines(long now, int region, TreeMap<Backend, Double> part,
+            double[] demand) {
         TreeMap<Backend, Double> lines = new TreeMap<>();
         part.forEach((backend, share) ->
                 lines.put(backend, share * backends.get(backend).paths[region].health));
@@ -475,8 +489,9 @@
             flow[r] = room[r] <= 0 ? 0 : flow[r] / room[r] / demand[region] + TRICKLE / all;
         }
         lines.replaceAll((backend, share) -> {
-            double weight = share * flow[region(backends.get(backend).member.zone())];
-            return backends.get(backend).cold ? Math.min(weight, COLD_MOST * share / all) : weight;
+            BackendState state = backends.get(backend);
+            double weight = share * flow[region(state.member.zone())];
+            return state.warmth(now) < 1 ? Math.min(weight, COLD_MOST * share / all) : weight;
         });
         double sum = sum(lines.values());
         lines.replaceAll((backend, weight) -> 100 * weight / sum);
@@ -492,7 +507,7 @@
     private void learnUsage(long now, double seconds) {
         proxies.values().removeIf(p -> !p.joined && now - p.leftAt > LEASE);
         for (ProxyState proxy : proxies.values()) {
-            proxy.heard |= sum(Arrays.stream(proxy.newUsage).boxed().toList()) > 0;
+            proxy.heard |= Arrays.stream(proxy.newUsage).sum() > 0;
             for (int c = 0; proxy.joined && proxy.heard && c < levels.length; c++) {
                 proxy.usage[c] = blend(proxy.usage[c], proxy.newUsage[c] / seconds);
                 proxy.newUsage[c] = 0;
@@ -509,6 +524,7 @@
         double capacity = backends.values().stream().mapToDouble(s -> s.capacity(now)).sum();
         usualCapacity = Math.max(capacity, blend(usualCapacity, capacity));
         double known = proven * capacity;
+        judged.forEach(BackendState::learnQuiet);
         long over = judged.stream().filter(this::isOverloaded).count();
         boolean overloaded = over * 2 > judged.size();
         jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
@@ -544,29 +560,20 @@
 
     /** Overload shows in failures, or in answers twice as slow as in quiet and slow enough to matter. */
     private boolean isOverloaded(BackendState state) {
-        double latency = state.all.latency();
-        state.quiet = state.quiet == 0 || latency > 0 && latency < state.quiet ? latency : state.quiet;
-        double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
         boolean slower = state.all.lastLatency == 0 || state.all.lastLatency > QUIET * state.quiet;
         return state.all.lastFailing > OVERLOAD_FAILED && slower
-                || state.all.lastLatency > Math.max(OVERLOAD_SLOWER * state.quiet, aim / 2);
+                || state.all.lastLatency > Math.max(OVERLOAD_SLOWER * state.quiet, tightestAim / 2);
     }
 
     /** A jam: answers come too late to be of use, and what is let in only waits. Queues must drain first. */
     private boolean isJammed(BackendState state) {
-        double aim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
-        return state.all.lastFailing > JAM_FAILED || state.all.lastLatency > aim;
+        return state.all.lastFailing > JAM_FAILED || state.all.lastLatency > tightestAim;
     }
 
     /** Shares the part out, worthiest class first; a class's rest becomes one even level for all. */
     private void setLevels() {
         double demand = proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
         if (total > LIFT * demand) { total = Double.POSITIVE_INFINITY; }
-        List<Integer> byWorth = new ArrayList<>();
-        for (int c = 0; c < levels.length; c++) {
-            byWorth.add(c);
-        }
-        byWorth.sort(Comparator.comparing((Integer c) -> -settings.classes().get(c).worth()));
         double part = jammed ? DRAIN * total : total;
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
@@ -612,15 +619,15 @@
     /** Joining proxies are bound at once; other orders wait for room and the message budget. */
     private void send(long now, boolean round) {
         double seconds = drainedAt == 0 ? 0 : (now - drainedAt) / SECOND;
-        linesLeft = Math.min(linesSent, linesLeft + seconds * SLOW_PACE * settings.channel()
-                .linesPerSecond());
+        double drained = seconds * SLOW_PACE * settings.channel().linesPerSecond();
+        linesLeft = Math.min(linesSent, linesLeft + drained);
         drainedAt = now;
         proxies.values().forEach(p -> p.lines = 0);
         holdCold(now);
-        TreeMap<Integer, TreeMap<Backend, Double>> laid = layTables(now);
         if ((round || urgent || !joining.isEmpty()) && now >= nextMessage) {
             sendWithdrawals();
-            sendLines(laid, (!round ? URGENT_BACKLOG : ORDINARY_BACKLOG) * settings.channel().backlog());
+            double part = round ? ORDINARY_BACKLOG : URGENT_BACKLOG;
+            sendLines(layTables(now), part * settings.channel().backlog());
             sendLevels();
             urgent = false;
         } else if (urgent) {
@@ -658,9 +665,8 @@
         for (BackendState state : backends.values()) {
             if (state.withdrawn == (state.ready() && !state.held)) {
                 state.withdrawn = !state.withdrawn;
-                actions.add(new Log("backend " + state.member.backend() + (state.withdrawn
-                        ? " withdrawn: listed "
-                        + state.member.listed() : " let in again")));
+                String what = state.withdrawn ? " withdrawn: listed " + state.member.listed() : " let in again";
+                actions.add(new Log("backend " + state.member.backend() + what));
                 order(new Withdraw(state.member.backend(), state.withdrawn), p -> true);
             }
         }
@@ -673,17 +679,13 @@
             lines.forEach((backend, weight) -> {
                 double was = tables.get(table).getOrDefault(backend, 0.0);
                 double size = Math.abs(weight - was) / Math.max(1e-9, Math.max(was, weight));
-                if (size > WORTH_SENDING) {
-                    changes.add(new Change(table, backend, weight, size));
-                }
+                if (size > WORTH_SENDING) { changes.add(new Change(table, backend, weight, size)); }
             });
         });
         changes.sort(Comparator.comparing(Change::size).reversed());
         for (Change change : changes) {
             if (waiting() < mostWaiting) {
-                int region = change.table() % regions;
-                order(new SetLine(change.table(), change.backend(), change.weight()), p ->
-                        region(p.zone) == region);
+                order(new SetLine(change.table(), change.backend(), change.weight()), users(change.table()));
                 tables.get(change.table()).put(change.backend(), change.weight());
             }
         }
@@ -697,7 +699,7 @@
                 double off = sent == null ? 1 : Math.abs(admit.level() / sent.level() - 1);
                 if (off > LEVEL_WORTH_SENDING) {
                     sentLevels.put(table * levels.length + cls, admit);
-                    order(admit, p -> region(p.zone) == table % regions);
+                    order(admit, users(table));
                 }
             }
         }
@@ -712,8 +714,8 @@
             actions.add(new Mark(markNumber, false));
             marks.add(new SentMark(markNumber, before));
             int most = settings.channel().messagesMost();
-            nextMessage = most <= 0 ? now : now + (long) (MESSAGE_SPARE * settings.channel()
-                    .messagesOver() / most);
+            double gap = most <= 0 ? 0 : MESSAGE_SPARE * settings.channel().messagesOver() / most;
+            nextMessage = now + (long) gap;
         }
     }
 
--- a/src/main/java/rowanmoor/benchlink/Link.java
+++ b/src/main/java/rowanmoor/benchlink/Link.java
@@ -22,8 +22,11 @@
 
     /** Serves batches until the input ends. */
     public void serve(InputStream in, OutputStream out) throws IOException {
-        for (byte[] header = in.readNBytes(HEADER_BYTES); header.length > 0; header = in
-                .readNBytes(HEADER_BYTES)) {
+        while (true) {
+            byte[] header = in.readNBytes(HEADER_BYTES);
+            if (header.length == 0) {
+                return;
+            }
             if (header.length < HEADER_BYTES) {
                 throw new MalformedInput("the input ends within a batch's header");
             }
@@ -63,8 +66,8 @@
         if (item instanceof Reader.Launch launch) {
             // Settings are read outside the try: bad ones are the input's fault, not the decision code's.
             var settings = SettingsParser.parse(launch.setup());
-            guard(launch.who(), writer, () -> instances.put(launch.who(), new Logic(settings,
-                    launch.seed())));
+            guard(launch.who(), writer, () ->
+                    instances.put(launch.who(), new Logic(settings, launch.seed())));
             concerned.add(launch.who());
         } else if (item instanceof Reader.Halt halt) {
             instances.remove(halt.who());
--- a/src/main/java/rowanmoor/benchlink/Writer.java
+++ b/src/main/java/rowanmoor/benchlink/Writer.java
@@ -45,8 +45,8 @@
         } else if (action instanceof Withdraw a) {
             put(70, backend(start(who, 7), a.backend()).put(flag(a.out())));
         } else if (action instanceof SetLine a) {
-            put(80, backend(start(who, 12), a.backend()).putFloat((float) a.weight()).putShort((short) a
-                    .table()));
+            put(80, backend(start(who, 12), a.backend()).putFloat((float) a.weight())
+                    .putShort((short) a.table()));
         } else if (action instanceof Tell a) {
             put(90, start(who, 6 + a.data().length).putInt((int) a.peer()).putShort((short) a.data().length)
                     .put(a.data()));
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -252,9 +252,7 @@
 
     @Test
     void overloadShedsTheLeastWorthFirstAndCalmLiftsIt() {
-        stand.start(4, 4);
-        calm(5);
-        overload(4);
+        calmThenOverload(4);
         double cheap = stand.level(0, 0);
         assertTrue(cheap < 15, "level of the cheap class " + cheap);
         assertTrue(stand.level(0, 1) > 1000, "the worthy class is open");
@@ -265,9 +263,7 @@
 
     @Test
     void aLevelCountsDepartedProxiesUntilTheLeaseEnds() {
-        stand.start(4, 4);
-        calm(5);
-        overload(3);
+        calmThenOverload(3);
         double before = stand.level(1, 0);
         stand.hear(new ProxyLeft(3));
         overload(1);
@@ -283,12 +279,14 @@
 
     @Test
     void noLevelIsRuinousIfItStays() {
+        calmThenOverload(60);
+        assertTrue(stand.level(0, 0) >= 1, "level " + stand.level(0, 0));
+    }
+
+    private void calmThenOverload(int rounds) {
         stand.start(4, 4);
         calm(5);
-        for (int i = 0; i < 60; i++) {
-            overload(1);
-        }
-        assertTrue(stand.level(0, 0) >= 1, "level " + stand.level(0, 0));
+        overload(rounds);
     }
 
     private void calm(int rounds) {
