--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -665,7 +665,8 @@
         for (BackendState state : backends.values()) {
             if (state.withdrawn == (state.ready() && !state.held)) {
                 state.withdrawn = !state.withdrawn;
-                String what = state.withdrawn ? " withdrawn: listed " + state.member.listed() : " let in again";
+                String what = state.withdrawn ? " withdrawn: listed " + state.member.listed()
+                        : " let in again";
                 actions.add(new Log("backend " + state.member.backend() + what));
                 order(new Withdraw(state.member.backend(), state.withdrawn), p -> true);
             }
