Selector loop, HTTP/1.1 parser and KDL 2.0 parser; launcher script and libraries

The running controller needs them. net: one thread's loop on sockets or on seeded pipes in memory, bounded write queues; http: strict, bounded messages; kdl: KDL 2.0 whole.

--- /dev/null
+++ b/src/main/java/rowanmoor/http/Fields.java
@@ -0,0 +1,108 @@
+package rowanmoor.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.BiConsumer;
+
+/** Header fields in their order; names compare without case (RFC 9110, 5.1). */
+public final class Fields {
+
+    private final List<String> names = new ArrayList<>();
+    private final List<String> values = new ArrayList<>();
+
+    /** Fields of alternating names and values. */
+    public static Fields of(String... namesAndValues) {
+        Fields fields = new Fields();
+        for (int i = 0; i < namesAndValues.length; i += 2) {
+            fields.add(namesAndValues[i], namesAndValues[i + 1]);
+        }
+        return fields;
+    }
+
+    public Fields add(String name, String value) {
+        names.add(name);
+        values.add(value);
+        return this;
+    }
+
+    /** The first value of a name, or null. */
+    public String get(String name) {
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i).equalsIgnoreCase(name)) {
+                return values.get(i);
+            }
+        }
+        return null;
+    }
+
+    public String get(String name, String otherwise) {
+        String value = get(name);
+        return value == null ? otherwise : value;
+    }
+
+    public int count(String name) {
+        return (int) names.stream().filter(n -> n.equalsIgnoreCase(name)).count();
+    }
+
+    /** Whether a comma-separated field holds a token, without case. */
+    public boolean holds(String name, String token) {
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i).equalsIgnoreCase(name)) {
+                for (String part : values.get(i).split(",")) {
+                    if (part.trim().toLowerCase(Locale.ROOT).equals(token)) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    public void remove(String name) {
+        for (int i = names.size() - 1; i >= 0; i--) {
+            if (names.get(i).equalsIgnoreCase(name)) {
+                names.remove(i);
+                values.remove(i);
+            }
+        }
+    }
+
+    public Fields set(String name, String value) {
+        remove(name);
+        return add(name, value);
+    }
+
+    public void forEach(BiConsumer<String, String> each) {
+        for (int i = 0; i < names.size(); i++) {
+            each.accept(names.get(i), values.get(i));
+        }
+    }
+
+    public int size() {
+        return names.size();
+    }
+
+    public Fields copy() {
+        Fields copy = new Fields();
+        forEach(copy::add);
+        return copy;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Fields f && f.names.equals(names) && f.values.equals(values);
+    }
+
+    @Override
+    public int hashCode() {
+        return names.hashCode() * 31 + values.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        forEach((n, v) -> text.append(n).append(": ").append(v).append('\n'));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/http/Limits.java
@@ -0,0 +1,21 @@
+package rowanmoor.http;
+
+/**
+ * Bounds of one message, all in bytes but {@code fields}.
+ *
+ * @param startLine request or status line
+ * @param head all field lines together; trailers have the same bound again
+ * @param fields how many field lines
+ * @param body the content after decoding
+ */
+public record Limits(int startLine, int head, int fields, int body) {
+
+    /** 4 KiB, 16 KiB, 64 fields, 1 MiB. */
+    public static Limits usual() {
+        return new Limits(4096, 16384, 64, 1 << 20);
+    }
+
+    public Limits body(int other) {
+        return new Limits(startLine, head, fields, other);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/http/Message.java
@@ -0,0 +1,95 @@
+package rowanmoor.http;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** A whole HTTP/1.1 message; {@code minor} is the version after the point, 0 or 1. */
+public sealed interface Message {
+
+    int minor();
+
+    Fields fields();
+
+    byte[] body();
+
+    /** Whether the connection stays open after this message (RFC 9112, 9.3). */
+    default boolean keepsAlive() {
+        return minor() == 1 ? !fields().holds("connection", "close")
+                : fields().holds("connection", "keep-alive");
+    }
+
+    record Request(String method, String target, int minor, Fields fields, byte[] body) implements Message {
+
+        public static Request get(String target, String... fields) {
+            return new Request("GET", target, 1, Fields.of(fields), new byte[0]);
+        }
+
+        /** The target up to its query. */
+        public String path() {
+            int query = target.indexOf('?');
+            return query < 0 ? target : target.substring(0, query);
+        }
+
+        /** The first value of a query key, undecoded, or null. */
+        public String query(String key) {
+            int at = target.indexOf('?');
+            if (at < 0) {
+                return null;
+            }
+            for (String pair : target.substring(at + 1).split("&")) {
+                int equals = pair.indexOf('=');
+                String name = equals < 0 ? pair : pair.substring(0, equals);
+                if (name.equals(key)) {
+                    return equals < 0 ? "" : pair.substring(equals + 1);
+                }
+            }
+            return null;
+        }
+
+        /** The bytes on the wire, framed by a length. */
+        public ByteBuffer encode() {
+            boolean framed = body.length > 0 || !method.equals("GET") && !method.equals("HEAD");
+            return Message.encode(method + " " + target + " HTTP/1." + minor, fields, body, framed);
+        }
+    }
+
+    record Response(int status, String reason, int minor, Fields fields, byte[] body) implements Message {
+
+        public static Response of(int status, String text, String... fields) {
+            return new Response(status, Reason.of(status), 1, Fields.of(fields),
+                    text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** The bytes on the wire, framed by a length; {@code head} leaves the content out, as for HEAD. */
+        public ByteBuffer encode(boolean head) {
+            boolean bare = status < 200 || status == 204 || status == 304;
+            byte[] sent = bare || head ? new byte[0] : body;
+            Fields framed = fields;
+            if (head && !bare) {
+                framed = fields.copy().set("Content-Length", Integer.toString(body.length));
+                framed.remove("Transfer-Encoding");
+                return Message.encode("HTTP/1." + minor + " " + status + " " + reason, framed, sent, false);
+            }
+            return Message.encode("HTTP/1." + minor + " " + status + " " + reason, framed, sent, !bare);
+        }
+    }
+
+    private static ByteBuffer encode(String start, Fields fields, byte[] body, boolean framed) {
+        StringBuilder head = new StringBuilder(256).append(start).append("\r\n");
+        fields.forEach((name, value) -> {
+            boolean framing = name.equalsIgnoreCase("content-length")
+                    || name.equalsIgnoreCase("transfer-encoding");
+            if (!framed || !framing) {
+                Syntax.checkField(name, value);
+                head.append(name).append(": ").append(value).append("\r\n");
+            }
+        });
+        if (framed) {
+            head.append("Content-Length: ").append(body.length).append("\r\n");
+        }
+        head.append("\r\n");
+        byte[] bytes = head.toString().getBytes(StandardCharsets.ISO_8859_1);
+        ByteBuffer out = ByteBuffer.allocate(bytes.length + body.length);
+        return out.put(bytes).put(body).flip();
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/http/Syntax.java
@@ -0,0 +1,30 @@
+package rowanmoor.http;
+
+/** Which characters may stand where (RFC 9110, 5.5 and 5.6.2). */
+final class Syntax {
+
+    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
+
+    private Syntax() { }
+
+    static boolean isTokenChar(int c) {
+        return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+                || c > 0 && TOKEN_MARKS.indexOf(c) >= 0;
+    }
+
+    static boolean isToken(String text) {
+        return !text.isEmpty() && text.chars().allMatch(Syntax::isTokenChar);
+    }
+
+    /** Visible, space, tab, or beyond ASCII; never a control. */
+    static boolean isValueChar(int c) {
+        return c == '\t' || c >= ' ' && c != 127;
+    }
+
+    /** Refuses to write a field that would be read as something else: a caller's fault, not the peer's. */
+    static void checkField(String name, String value) {
+        if (!isToken(name) || !value.chars().allMatch(c -> isValueChar(c) && c < 256)) {
+            throw new IllegalArgumentException("not a header field: " + name + ": " + value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/kdl/KdlError.java
@@ -0,0 +1,23 @@
+package rowanmoor.kdl;
+
+/** Text that is no KDL document. Line and column count from 1, columns in code points. */
+public final class KdlError extends Exception {
+
+    private static final long serialVersionUID = 1L;
+    private final int line;
+    private final int column;
+
+    KdlError(int line, int column, String what) {
+        super(line + ":" + column + ": " + what);
+        this.line = line;
+        this.column = column;
+    }
+
+    public int line() {
+        return line;
+    }
+
+    public int column() {
+        return column;
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/net/Connection.java
@@ -0,0 +1,385 @@
+package rowanmoor.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Iterator;
+
+/**
+ * One connection of a {@link Loop}: reads as its handler lets it, writes from a bounded queue, and is closed exactly
+ * once. States: connecting, open, ending (its last bytes are being written), closed.
+ */
+public final class Connection {
+
+    private enum State { CONNECTING, OPEN, ENDING, CLOSED }
+
+    /** Reads of one readiness before other connections have their turn. */
+    private static final int READS_A_TURN = 4;
+
+    private record Waiting(ByteBuffer frame, Object key) { }
+
+    private final Loop loop;
+    private final Wire wire;
+    private final Handler handler;
+    private final Bound bound;
+    private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+    private final long idleAfter;
+    private State state;
+    private long queuedBytes;
+    private long mostQueuedBytes;
+    private long writtenBytes;
+    private boolean paused;
+    private boolean peerEnded;
+    private boolean outputEnded;
+    private boolean headStarted;
+    private boolean dirty;
+    private long heardAt;
+    private Timer idle;
+    private Timer connecting;
+
+    Connection(Loop loop, Wire wire, Handler handler, Options options, boolean made) {
+        this.loop = loop;
+        this.wire = wire;
+        this.handler = handler;
+        this.bound = options.bound();
+        this.idleAfter = options.idleAfter();
+        this.state = made ? State.OPEN : State.CONNECTING;
+        this.heardAt = loop.now();
+        wire.attach(this::ready);
+        if (!made) {
+            connecting = loop.after(options.connectWithin(), () ->
+                    close(Close.CONNECT_TIMEOUT, "no answer from " + wire.remote()));
+        }
+    }
+
+    /** Options of one connection; times in nanoseconds, 0 for never. */
+    public record Options(Bound bound, long connectWithin, long idleAfter) {
+
+        private static final long SECOND = 1_000_000_000L;
+
+        /** A mebibyte and a thousand frames may wait, refused beyond; 1 s to connect; never idle. */
+        public static Options usual() {
+            return new Options(new Bound(1 << 20, 1024, Bound.Policy.REFUSE), SECOND, 0);
+        }
+
+        public Options idleAfter(long nanos) {
+            return new Options(bound, connectWithin, nanos);
+        }
+
+        public Options connectWithin(long nanos) {
+            return new Options(bound, nanos, idleAfter);
+        }
+
+        public Options bound(Bound other) {
+            return new Options(other, connectWithin, idleAfter);
+        }
+    }
+
+    void begin() {
+        guard(() -> {
+            handler.opened(this);
+            watchIdle();
+            wants();
+        });
+    }
+
+    /** Queues a frame; it is written at the end of the loop's turn. False if it was not taken. */
+    public boolean send(ByteBuffer frame) {
+        return send(frame, null);
+    }
+
+    /** Queues a frame that may later give way to a newer one of the same key. */
+    public boolean send(ByteBuffer frame, Object key) {
+        if (state == State.CLOSED || state == State.ENDING) {
+            return false;
+        }
+        if (!fits(frame) && !(bound.policy() == Bound.Policy.COALESCE && replace(frame, key))) {
+            if (bound.policy() == Bound.Policy.CLOSE) {
+                close(Close.OVERFLOW, queue.size() + " frames of " + queuedBytes + " bytes wait");
+            }
+            return false;
+        }
+        if (fits(frame)) {
+            queue.add(new Waiting(frame, key));
+            queuedBytes += frame.remaining();
+            mostQueuedBytes = Math.max(mostQueuedBytes, queuedBytes);
+        }
+        markDirty();
+        return true;
+    }
+
+    private boolean fits(ByteBuffer frame) {
+        return queue.size() < bound.frames() && queuedBytes + frame.remaining() <= bound.bytes();
+    }
+
+    /** Puts a frame in the place of a waiting one of the same key; the head stays if it is partly written. */
+    private boolean replace(ByteBuffer frame, Object key) {
+        ArrayDeque<Waiting> kept = new ArrayDeque<>(queue.size());
+        boolean replaced = false;
+        Iterator<Waiting> waiting = queue.iterator();
+        boolean head = true;
+        while (waiting.hasNext()) {
+            Waiting next = waiting.next();
+            boolean started = head && headStarted;
+            head = false;
+            boolean room = queuedBytes - next.frame().remaining() + frame.remaining() <= bound.bytes();
+            if (!replaced && !started && key != null && key.equals(next.key()) && room) {
+                queuedBytes += frame.remaining() - next.frame().remaining();
+                kept.add(new Waiting(frame, key));
+                replaced = true;
+            } else {
+                kept.add(next);
+            }
+        }
+        if (replaced) {
+            queue.clear();
+            queue.addAll(kept);
+        }
+        return replaced;
+    }
+
+    private void markDirty() {
+        if (!dirty && state != State.CONNECTING) {
+            dirty = true;
+            loop.flushLater(this);
+        }
+    }
+
+    /** Reads nothing until {@link #resume}: what the peer sends waits with it. */
+    public void pause() {
+        paused = true;
+        wants();
+    }
+
+    public void resume() {
+        paused = false;
+        heardAt = loop.now();
+        wants();
+    }
+
+    /** Writes what waits, then ends this side's bytes and, once the peer ends too, the connection. */
+    public void end() {
+        if (state == State.OPEN) {
+            state = State.ENDING;
+            markDirty();
+        } else if (state == State.CONNECTING) {
+            close(Close.LOCAL, "ended before it was made");
+        }
+    }
+
+    /** Closes at once; what waits is dropped. */
+    public void close(Close why, String detail) {
+        close(why, detail, false);
+    }
+
+    /** Closes at once and resets: the peer sees the connection break. */
+    public void reset(String detail) {
+        close(Close.LOCAL, detail, true);
+    }
+
+    private void close(Close why, String detail, boolean reset) {
+        if (state == State.CLOSED) {
+            return;
+        }
+        state = State.CLOSED;
+        queue.clear();
+        queuedBytes = 0;
+        cancel(idle);
+        cancel(connecting);
+        wire.close(reset);
+        loop.forget(this);
+        try {
+            handler.closed(this, why, detail);
+        } catch (RuntimeException e) {
+            loop.fault(e);
+        }
+    }
+
+    private static void cancel(Timer timer) {
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
+    public boolean isOpen() {
+        return state == State.OPEN;
+    }
+
+    public boolean isClosed() {
+        return state == State.CLOSED;
+    }
+
+    public long queuedBytes() {
+        return queuedBytes;
+    }
+
+    public int queuedFrames() {
+        return queue.size();
+    }
+
+    /** The most bytes that ever waited at once. */
+    public long mostQueuedBytes() {
+        return mostQueuedBytes;
+    }
+
+    /** Bytes that the stream has taken so far; none of those that wait. */
+    public long writtenBytes() {
+        return writtenBytes;
+    }
+
+    public InetSocketAddress remote() {
+        return wire.remote();
+    }
+
+    public InetSocketAddress local() {
+        return wire.local();
+    }
+
+    /** Time of the last bytes read, by the loop's clock. */
+    public long heardAt() {
+        return heardAt;
+    }
+
+    private void ready(boolean read, boolean write) {
+        if (state == State.CONNECTING) {
+            finishConnecting();
+            return;
+        }
+        if (read) {
+            guard(this::readSome);
+        }
+        if (write && state != State.CLOSED) {
+            flush();
+        }
+    }
+
+    private void finishConnecting() {
+        try {
+            if (!wire.finishConnect()) {
+                return;
+            }
+        } catch (IOException e) {
+            close(Close.REFUSED, e.getMessage());
+            return;
+        }
+        cancel(connecting);
+        state = State.OPEN;
+        heardAt = loop.now();
+        begin();
+        if (state != State.CLOSED && !queue.isEmpty()) {
+            markDirty();
+        }
+    }
+
+    private void readSome() {
+        for (int i = 0; i < READS_A_TURN && state != State.CLOSED && !paused && !peerEnded; i++) {
+            ByteBuffer into = loop.scratch();
+            int count;
+            try {
+                count = wire.read(into);
+            } catch (IOException e) {
+                close(Close.RESET, e.getMessage());
+                return;
+            }
+            if (count == 0) {
+                return;
+            }
+            heardAt = loop.now();
+            if (count < 0) {
+                hearEnd();
+                return;
+            }
+            into.flip();
+            if (state == State.OPEN) {
+                handler.received(this, into);
+            }
+        }
+    }
+
+    private void hearEnd() {
+        peerEnded = true;
+        boolean goesOn = state == State.OPEN && handler.ended(this);
+        if (!goesOn && state != State.CLOSED) {
+            if (queue.isEmpty()) {
+                close(Close.ENDED, "the peer ended");
+            } else {
+                state = State.ENDING;
+            }
+        }
+        wants();
+    }
+
+    /** Writes what the stream takes. */
+    void flush() {
+        dirty = false;
+        if (state == State.CLOSED || state == State.CONNECTING) {
+            return;
+        }
+        boolean had = !queue.isEmpty();
+        try {
+            while (!queue.isEmpty()) {
+                ByteBuffer head = queue.peek().frame();
+                int before = head.remaining();
+                wire.write(head);
+                queuedBytes -= before - head.remaining();
+                writtenBytes += before - head.remaining();
+                if (head.hasRemaining()) {
+                    headStarted |= head.remaining() < before;
+                    break;
+                }
+                headStarted = false;
+                queue.poll();
+            }
+            if (queue.isEmpty() && state == State.ENDING) {
+                finishEnding();
+            }
+        } catch (IOException e) {
+            close(Close.RESET, e.getMessage());
+            return;
+        }
+        wants();
+        if (had && queue.isEmpty() && state == State.OPEN) {
+            guard(() -> handler.drained(this));
+        }
+    }
+
+    private void finishEnding() throws IOException {
+        if (peerEnded) {
+            close(Close.ENDED, "both sides ended");
+        } else if (!outputEnded) {
+            outputEnded = true;
+            wire.endOutput();
+            heardAt = loop.now();
+            // A peer that never ends its side must not hold the connection for good.
+            idle = loop.after(loop.lingerFor(), () -> close(Close.LOCAL, "the peer did not end its side"));
+        }
+    }
+
+    private void wants() {
+        if (state == State.OPEN || state == State.ENDING) {
+            wire.want(!paused && !peerEnded, !queue.isEmpty());
+        }
+    }
+
+    private void watchIdle() {
+        if (idleAfter > 0 && state == State.OPEN) {
+            long left = heardAt + idleAfter - loop.now();
+            if (left <= 0 && !paused) {
+                close(Close.IDLE, "nothing heard for " + idleAfter / 1_000_000 + " ms");
+            } else {
+                idle = loop.after(left <= 0 ? idleAfter : left, this::watchIdle);
+            }
+        }
+    }
+
+    /** A handler that throws costs its own connection and no other. */
+    private void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            loop.fault(e);
+            close(Close.FAULT, e.toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/net/SelectorPorts.java
@@ -0,0 +1,236 @@
+package rowanmoor.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+
+/** Sockets on one selector. */
+final class SelectorPorts implements Ports {
+
+    private static final long MILLI = 1_000_000L;
+
+    private final Selector selector;
+
+    SelectorPorts() throws IOException {
+        selector = Selector.open();
+    }
+
+    @Override
+    public Wire connect(InetSocketAddress from, InetSocketAddress to) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            if (from != null) {
+                channel.bind(from);
+            }
+            boolean made = channel.connect(to);
+            return new SocketWire(channel, channel.register(selector, made ? SelectionKey.OP_WRITE
+                    : SelectionKey.OP_CONNECT), to);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    @Override
+    public Door listen(InetSocketAddress at, int backlog) throws IOException {
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            channel.bind(at, backlog);
+            return new SocketDoor(channel, channel.register(selector, SelectionKey.OP_ACCEPT));
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    @Override
+    public void poll(long nanos) throws IOException {
+        if (nanos <= 0) {
+            selector.selectNow();
+        } else {
+            // The selector counts milliseconds: rounded up, so that a timer is never polled for in a spin.
+            selector.select((nanos + MILLI - 1) / MILLI);
+        }
+        var keys = selector.selectedKeys().iterator();
+        while (keys.hasNext()) {
+            SelectionKey key = keys.next();
+            keys.remove();
+            report(key);
+        }
+    }
+
+    private static void report(SelectionKey key) {
+        try {
+            if (!key.isValid()) {
+                return;
+            }
+            if (key.attachment() instanceof SocketDoor door) {
+                door.ready.run();
+            } else if (key.attachment() instanceof SocketWire wire) {
+                int ops = key.readyOps();
+                wire.ready.ready((ops & SelectionKey.OP_READ) != 0,
+                        (ops & (SelectionKey.OP_WRITE | SelectionKey.OP_CONNECT)) != 0);
+            }
+        } catch (CancelledKeyException e) {
+            // closed by an earlier call of the same poll
+        }
+    }
+
+    @Override
+    public void wakeup() {
+        selector.wakeup();
+    }
+
+    @Override
+    public void close() {
+        try {
+            for (SelectionKey key : selector.keys()) {
+                key.channel().close();
+            }
+            selector.close();
+        } catch (IOException e) {
+            // nothing is left to do with a selector that cannot be closed
+        }
+    }
+
+    private static final class SocketDoor implements Door {
+        private final ServerSocketChannel channel;
+        private final SelectionKey key;
+        private Runnable ready = () -> { };
+
+        SocketDoor(ServerSocketChannel channel, SelectionKey key) {
+            this.channel = channel;
+            this.key = key;
+            key.attach(this);
+        }
+
+        @Override
+        public void attach(Runnable itsReady) {
+            ready = itsReady;
+        }
+
+        @Override
+        public Wire accept() throws IOException {
+            SocketChannel accepted = channel.accept();
+            if (accepted == null) {
+                return null;
+            }
+            try {
+                accepted.configureBlocking(false);
+                accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                return new SocketWire(accepted, accepted.register(key.selector(), SelectionKey.OP_READ),
+                        (InetSocketAddress) accepted.getRemoteAddress());
+            } catch (IOException | RuntimeException e) {
+                accepted.close();
+                throw e;
+            }
+        }
+
+        @Override
+        public void want(boolean accept) {
+            if (key.isValid()) {
+                key.interestOps(accept ? SelectionKey.OP_ACCEPT : 0);
+            }
+        }
+
+        @Override
+        public InetSocketAddress address() {
+            return (InetSocketAddress) channel.socket().getLocalSocketAddress();
+        }
+
+        @Override
+        public void close() {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // the address is given up either way
+            }
+        }
+    }
+
+    private static final class SocketWire implements Wire {
+        private final SocketChannel channel;
+        private final SelectionKey key;
+        private final InetSocketAddress remote;
+        private Ready ready = (read, write) -> { };
+        private int wanted;
+
+        SocketWire(SocketChannel channel, SelectionKey key, InetSocketAddress remote) {
+            this.channel = channel;
+            this.key = key;
+            this.remote = remote;
+            this.wanted = key.interestOps();
+            key.attach(this);
+        }
+
+        @Override
+        public void attach(Ready itsReady) {
+            ready = itsReady;
+        }
+
+        @Override
+        public void want(boolean read, boolean write) {
+            int ops = (read ? SelectionKey.OP_READ : 0) | (write ? SelectionKey.OP_WRITE : 0);
+            if (ops != wanted && key.isValid()) {
+                wanted = ops;
+                key.interestOps(ops);
+            }
+        }
+
+        @Override
+        public boolean finishConnect() throws IOException {
+            return channel.finishConnect();
+        }
+
+        @Override
+        public int read(ByteBuffer into) throws IOException {
+            return channel.read(into);
+        }
+
+        @Override
+        public int write(ByteBuffer from) throws IOException {
+            return channel.write(from);
+        }
+
+        @Override
+        public void endOutput() throws IOException {
+            channel.shutdownOutput();
+        }
+
+        @Override
+        public void close(boolean reset) {
+            try {
+                if (reset) {
+                    channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+                }
+            } catch (IOException e) {
+                // closed without a reset, then
+            }
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // the descriptor is given up either way
+            }
+        }
+
+        @Override
+        public InetSocketAddress local() {
+            return (InetSocketAddress) channel.socket().getLocalSocketAddress();
+        }
+
+        @Override
+        public InetSocketAddress remote() {
+            return remote;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/net/Timer.java
@@ -0,0 +1,38 @@
+package rowanmoor.net;
+
+/** A call at a time; timers of one time come due in the order in which they were set. */
+public final class Timer implements Comparable<Timer> {
+
+    final long time;
+    private final long number;
+    private Runnable task;
+
+    Timer(long time, long number, Runnable task) {
+        this.time = time;
+        this.number = number;
+        this.task = task;
+    }
+
+    /** Never calls from now on; harmless if it already has. */
+    public void cancel() {
+        task = null;
+    }
+
+    boolean live() {
+        return task != null;
+    }
+
+    void run() {
+        Runnable due = task;
+        task = null;
+        if (due != null) {
+            due.run();
+        }
+    }
+
+    @Override
+    public int compareTo(Timer other) {
+        int byTime = Long.compare(time, other.time);
+        return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+}
