--- a/src/main/java/rowanmoor/http/Parser.java
+++ b/src/main/java/rowanmoor/http/Parser.java
@@ -5,10 +5,10 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Reads one message after another from bytes that come in any pieces. Strict where leniency has let requests be
- * smuggled: lines end in CR LF and nothing else; no bare CR, no folded line, no space before a colon; one length at
- * most, and never a length beside a chunked coding (RFC 9112, 5 to 7). Everything is bounded by {@link Limits}.
- * A parser that has thrown is of no further use.
+ * Reads one message after another from bytes that come in any pieces. Strict where leniency has let
+ * requests be smuggled: lines end in CR LF and nothing else; no bare CR, no folded line, no space before
+ * a colon; one length at most, and never a length beside a chunked coding (RFC 9112, 5 to 7). Everything
+ * is bounded by {@link Limits}. A parser that has thrown is of no further use.
  */
 public final class Parser {
 
--- a/src/main/java/rowanmoor/http/ServerConnection.java
+++ b/src/main/java/rowanmoor/http/ServerConnection.java
@@ -6,8 +6,9 @@
 import rowanmoor.net.Handler;
 
 /**
- * Serves one connection: requests are answered one at a time and in order, those that a client sends ahead wait, at
- * most {@value #AHEAD_MOST} bytes of them. A client that ends its bytes while its request is in work has given up.
+ * Serves one connection: requests are answered one at a time and in order, those that a client sends
+ * ahead wait, at most {@value #AHEAD_MOST} bytes of them. A client that ends its bytes while its request
+ * is in work has given up.
  */
 public final class ServerConnection implements Handler {
 
--- a/src/main/java/rowanmoor/net/Connection.java
+++ b/src/main/java/rowanmoor/net/Connection.java
@@ -7,8 +7,8 @@
 import java.util.Iterator;
 
 /**
- * One connection of a {@link Loop}: reads as its handler lets it, writes from a bounded queue, and is closed exactly
- * once. States: connecting, open, ending (its last bytes are being written), closed.
+ * One connection of a {@link Loop}: reads as its handler lets it, writes from a bounded queue, and is
+ * closed exactly once. States: connecting, open, ending (its last bytes are being written), closed.
  */
 public final class Connection {
 
--- a/src/main/java/rowanmoor/net/Loop.java
+++ b/src/main/java/rowanmoor/net/Loop.java
@@ -12,8 +12,9 @@
 import java.util.function.Function;
 
 /**
- * One thread's duty cycle: wait for readiness or the next timer, read, run timers and posted tasks, then write. On
- * sockets and the machine's clock, or on {@link MemoryNet}'s pipes and its manual clock: the code is the same.
+ * One thread's duty cycle: wait for readiness or the next timer, read, run timers and posted tasks, then
+ * write. On sockets and the machine's clock, or on {@link MemoryNet}'s pipes and its manual clock: the
+ * code is the same.
  */
 public final class Loop implements AutoCloseable, Runnable {
 
@@ -68,7 +69,10 @@
             door.close();
         }
 
-        /** Without a descriptor left, a ready door would spin: it rests, and connections wait in its backlog. */
+        /**
+         * Without a descriptor left, a ready door would spin: it rests, and connections wait in its
+         * backlog.
+         */
         private void acceptSome() {
             for (int i = 0; i < ACCEPTS_A_TURN; i++) {
                 try {
--- a/src/main/java/rowanmoor/net/MemoryNet.java
+++ b/src/main/java/rowanmoor/net/MemoryNet.java
@@ -17,8 +17,9 @@
 import java.util.function.Consumer;
 
 /**
- * A network in memory on a manual clock, for runs that repeat exactly. Bytes of one connection stay in order; they
- * may be split, delayed, corrupted and cut off, and connections overtake each other, all drawn from the seed.
+ * A network in memory on a manual clock, for runs that repeat exactly. Bytes of one connection stay in
+ * order; they may be split, delayed, corrupted and cut off, and connections overtake each other, all
+ * drawn from the seed.
  */
 public final class MemoryNet {
 
