--- a/src/main/java/rowanmoor/http/Parser.java
+++ b/src/main/java/rowanmoor/http/Parser.java
@@ -241,7 +241,7 @@
         }
         int colon = text.indexOf(':');
         if (colon <= 0 || !Syntax.isToken(text.substring(0, colon))) {
-            throw new HttpError(400, "a field name is empty, is not a token, or has a space before its colon");
+            throw new HttpError(400, "a field name is empty, no token, or has a space before its colon");
         }
         if (++fieldCount > limits.fields()) {
             throw new HttpError(431, "more than " + limits.fields() + " fields");
