--- /dev/null
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -0,0 +1,193 @@
+package rowanmoor.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import rowanmoor.config.ConfigError;
+import rowanmoor.config.ControllerConfig;
+import rowanmoor.config.Section;
+import rowanmoor.controller.Controller;
+import rowanmoor.controller.Trace;
+import rowanmoor.lab.DayFile;
+import rowanmoor.lab.Played;
+import rowanmoor.lab.Player;
+import rowanmoor.lab.Report;
+import rowanmoor.net.Loop;
+import rowanmoor.proxy.Proxy;
+import rowanmoor.proxy.ProxyConfig;
+import rowanmoor.proxy.Tap;
+
+/** The command line's sub-commands. Exit codes: 0 well, 1 it failed, 2 the arguments are wrong. */
+@Command(name = "rowanmoor", mixinStandardHelpOptions = true, version = "rowanmoor 0.2.0-SNAPSHOT",
+        description = "Publishes routing tables to a fleet of plain proxies.",
+        subcommands = {CommandLine.HelpCommand.class})
+public final class Commands {
+
+    private static final String LOG_LEVEL = "rowanmoor.log.level";
+
+    @Spec
+    private CommandSpec spec;
+
+    private Commands() { }
+
+    static int run(String... args) {
+        return commandLine().execute(args);
+    }
+
+    static CommandLine commandLine() {
+        return new CommandLine(new Commands()).setExecutionExceptionHandler((e, line, parsed) -> {
+            line.getErr().println("rowanmoor: " + (e instanceof ConfigError ? e.getMessage() : e.toString()));
+            return 1;
+        });
+    }
+
+    private PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    @Command(name = "benchlink", description = "Decides on the bench's wire, on standard input and output.")
+    int benchlink() {
+        return Main.benchlink(System.in, System.out, System.err);
+    }
+
+    @Command(name = "check", description = "Reads settings and days, and tells everything that is wrong.")
+    int check(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files) {
+        List<String> problems = new ArrayList<>();
+        for (Path file : files) {
+            try {
+                String kind = checkOne(file);
+                out().println(file + ": " + kind + ", nothing wrong");
+            } catch (ConfigError e) {
+                problems.addAll(e.problems());
+            }
+        }
+        problems.forEach(spec.commandLine().getErr()::println);
+        out().flush();
+        return problems.isEmpty() ? 0 : 1;
+    }
+
+    private static String checkOne(Path file) throws ConfigError {
+        Section root = Section.read(file);
+        if (root.has("day")) {
+            DayFile.read(file);
+            return "a day";
+        }
+        if (root.has("controller")) {
+            ControllerConfig.read(file);
+            return "a controller";
+        }
+        if (root.has("proxy")) {
+            ProxyConfig.read(file);
+            return "a proxy";
+        }
+        throw new ConfigError(List.of(file + ":1:1: has no day, no controller and no proxy"));
+    }
+
+    @Command(name = "controller", description = "Runs a controller until it is stopped.")
+    int controller(@Option(names = "--config", required = true, paramLabel = "FILE") Path file,
+            @Option(names = "--seed", description = "seeds the decisions; drawn if left out") Long seed)
+            throws ConfigError, IOException {
+        ControllerConfig config = ControllerConfig.read(file);
+        Loop loop = Loop.onSockets(Commands::onFault);
+        // Two starts of one controller must never share an epoch: the clock and chance together see to it.
+        long epoch = System.currentTimeMillis() << 20 | new SplittableRandom().nextInt(1 << 20);
+        Controller controller = new Controller(config, loop, seed == null ? epoch : seed, epoch,
+                System::currentTimeMillis);
+        runUntilStopped(loop, () -> {
+            controller.stop();
+            return null;
+        });
+        return 0;
+    }
+
+    @Command(name = "proxy", description = "Runs a proxy until it is stopped.")
+    int proxy(@Option(names = "--config", required = true, paramLabel = "FILE") Path file,
+            @Option(names = "--seed", description = "seeds its choices; drawn if left out") Long seed)
+            throws ConfigError, IOException {
+        ProxyConfig config = ProxyConfig.read(file);
+        Loop loop = Loop.onSockets(Commands::onFault);
+        Proxy proxy = Proxy.start(config, loop,
+                seed == null ? new SplittableRandom() : new SplittableRandom(seed), Tap.NONE);
+        out().println("proxy " + config.number() + " listens on " + proxy.address());
+        out().flush();
+        runUntilStopped(loop, () -> {
+            proxy.stop();
+            return null;
+        });
+        return 0;
+    }
+
+    private static void onFault(Throwable cause) {
+        org.slf4j.LoggerFactory.getLogger(Loop.class).error("a handler threw", cause);
+    }
+
+    /** Runs a loop on this thread; when the process is asked to end, what stops it has half a second. */
+    private static void runUntilStopped(Loop loop, Callable<Void> stop) {
+        Thread main = Thread.currentThread();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            loop.post(() -> {
+                try {
+                    stop.call();
+                } catch (Exception e) {
+                    onFault(e);
+                }
+                loop.after(200_000_000L, loop::stop);
+            });
+            try {
+                main.join(500);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+        loop.run();
+    }
+
+    @Command(name = "day",
+            description = "Plays a day on stand-ins and judges it by what crossed the sockets.")
+    int day(@Parameters(paramLabel = "FILE") Path file,
+            @Option(names = "--seed", description = "in place of the file's") Long seed,
+            @Option(names = "--report", paramLabel = "DIR",
+                    description = "keeps tables, JSON lines, charts") Path
+                    report,
+            @Option(names = "--simulated", description = "in memory and in simulated time") boolean simulated)
+            throws ConfigError, IOException, InterruptedException {
+        // Controllers' own lines go to files; what proxies here would log drowns the report.
+        if (System.getProperty(LOG_LEVEL) == null) {
+            System.setProperty(LOG_LEVEL, "OFF");
+        }
+        DayFile day = DayFile.read(file);
+        DayFile seeded = seed == null ? day : day.seed(seed);
+        Path directory = report == null ? Files.createTempDirectory("rowanmoor-day") : report;
+        Files.createDirectories(directory);
+        Played played = simulated ? Player.simulate(seeded) : Player.play(seeded, file, directory);
+        out().print(Report.text(played));
+        out().flush();
+        if (report != null) {
+            System.setProperty("java.awt.headless", "true");
+            Report.write(played, report);
+        }
+        return played.passed() ? 0 : 1;
+    }
+
+    @Command(name = "replay",
+            description = "Feeds a controller's trace to a new instance and compares orders.")
+    int replay(@Parameters(paramLabel = "TRACE") Path trace) throws IOException {
+        Trace.Replay replay = Trace.replay(trace);
+        out().println(replay.ticks() + " ticks, " + replay.events() + " events, " + replay.actions()
+                + " orders: " + (replay.difference() == null ? "the same" : replay.difference())
+                + (replay.cut() ? "; the last line is cut off" : ""));
+        out().flush();
+        return replay.difference() == null ? 0 : 1;
+    }
+}
--- a/src/main/java/rowanmoor/cli/Main.java
+++ b/src/main/java/rowanmoor/cli/Main.java
@@ -8,36 +8,22 @@
 import java.io.PrintStream;
 import rowanmoor.benchlink.Link;
 
-/** The command line: picks a subcommand. */
+/**
+ * Where the program starts. The bench's adapter is started here, without a library; all else is picocli's,
+ * in {@link Commands}.
+ */
 public final class Main {
 
-    private static final String USAGE = """
-            usage: rowanmoor COMMAND
-              benchlink   decide on the bench's wire, on standard input and output
-              help        print this text""";
-
     private Main() { }
 
     public static void main(String[] args) {
-        System.exit(run(args, System.in, System.out, System.err));
-    }
-
-    /** Runs one subcommand and returns the process's exit code. */
-    static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
-            case "benchlink":
-                return benchlink(in, out, err);
-            case "help":
-                new PrintStream(out, true).println(USAGE);
-                return 0;
-            default:
-                err.println(USAGE);
-                return 2;
-        }
+        System.exit(args.length == 1 && args[0].equals("benchlink") ? benchlink(System.in, System.out,
+                System.err)
+                : Commands.run(args));
     }
 
-    private static int benchlink(InputStream in, OutputStream out, PrintStream err) {
+    /** Decides on the bench's wire until the input ends; answers the exit code. */
+    static int benchlink(InputStream in, OutputStream out, PrintStream err) {
         try {
             new Link().serve(new BufferedInputStream(in, 1 << 16), new BufferedOutputStream(out, 1 << 16));
             return 0;
--- /dev/null
+++ b/src/main/java/rowanmoor/config/ConfigError.java
@@ -0,0 +1,20 @@
+package rowanmoor.config;
+
+import java.util.List;
+
+/** All that is wrong with a file. */
+public final class ConfigError extends Exception {
+
+    private static final long serialVersionUID = 1L;
+    private final List<String> problems;
+
+    public ConfigError(List<String> problems) {
+        super(String.join("\n", problems));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** One line each: {@code file:line:column: key: what}. */
+    public List<String> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/controller/Controller.java
@@ -0,0 +1,264 @@
+package rowanmoor.controller;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import rowanmoor.ControlApi.Action;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Event;
+import rowanmoor.ControlApi.Settings;
+import rowanmoor.channel.Frame;
+import rowanmoor.config.ControllerConfig;
+import rowanmoor.discovery.LoadColumns;
+import rowanmoor.discovery.Prober;
+import rowanmoor.discovery.RosterClient;
+import rowanmoor.net.Bound;
+import rowanmoor.net.Connection;
+import rowanmoor.net.Loop;
+import rowanmoor.net.Timer;
+
+/** The daemon: one {@link Driver} on one loop, with its streams, its roster and its probes. */
+public final class Controller implements Driver.Outside, ProxyStream.Owner {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+    private static final int FRAMES_MOST = 65536;
+    private static final long HIGHEST_TIMED = 60_000_000_000L;
+
+    private final ControllerConfig config;
+    private final Loop loop;
+    private final Driver driver;
+    private final RosterClient roster;
+    private final Prober prober;
+    private final Trace trace;
+    private final Loop.Listener listener;
+    private final Map<Integer, ProxyStream> streams = new TreeMap<>();
+    private final Histogram decided = new Histogram(HIGHEST_TIMED, 3);
+    private int open;
+    private Timer tick;
+    private long tickAt = Long.MAX_VALUE;
+    private long lastTick;
+
+    /**
+     * Listens at once.
+     *
+     * @param seed seeds the module
+     * @param epoch names this start; another at every start
+     * @param wall milliseconds since 1970, by which the roster states when backends started
+     */
+    public Controller(ControllerConfig config, Loop loop, long seed, long epoch, LongSupplier wall)
+            throws IOException {
+        this.config = config;
+        this.loop = loop;
+        Settings settings = config.site().settings(config.instances(), config.rank(), config.zone());
+        this.trace = config.trace() == null ? null : new Trace(config.trace(), settings, seed);
+        this.driver = new Driver(settings, seed, epoch, loop.now(), this, System::nanoTime);
+        this.roster = new RosterClient(loop, config.roster(), config.service(), "rowanmoor-" + config.rank(),
+                config.rosterWait(),
+                config.emptyHold(), config.site().zones(), config.site().kinds(), wall, members -> {
+                    driver.hearList(members);
+                    tickSoon();
+                }, text -> LOG.warn("roster {}", kv("what", text)));
+        this.prober = new Prober(loop, config.probePath(), config.probeWithin(), config.probesAtOnce(),
+                new LoadColumns(config.site().columns()), probed -> {
+                    driver.hearProbe(probed);
+                    tickSoon();
+                });
+        this.listener = loop.listen(config.listen(), options(), this::accept);
+        driver.hearList(roster.view().atStart());
+        tickSoon();
+        stats();
+        LOG.info("listening {} {}", kv("at", address()), kv("epoch", epoch));
+    }
+
+    private Connection.Options options() {
+        // A proxy that does not read is let go: it joins again and gets what it needs in one message.
+        return Connection.Options.usual().idleAfter(config.silentAfter())
+                .bound(new Bound(config.queueBytes(), FRAMES_MOST, Bound.Policy.CLOSE));
+    }
+
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    public Driver driver() {
+        return driver;
+    }
+
+    private ProxyStream accept(Connection connection) {
+        if (open >= config.streamsMost()) {
+            LOG.warn("stream refused: too many {}", kv("open", open));
+            return null;
+        }
+        open++;
+        return new ProxyStream(loop, this, config.helloWithin(), config.silentAfter() / 3);
+    }
+
+    // ---- streams -------------------------------------------------------------------------------------
+
+    @Override
+    public Frame.Goodbye hello(ProxyStream stream, Frame.Hello hello) {
+        if (hello.protocol() != Frame.PROTOCOL) {
+            return new Frame.Goodbye(Frame.Reason.VERSION, "this side speaks version " + Frame.PROTOCOL
+                    + ", not " + hello.protocol());
+        }
+        if (hello.zone() >= config.site().zones().size()) {
+            return new Frame.Goodbye(Frame.Reason.PROTOCOL, "zone " + hello.zone() + " does not exist");
+        }
+        ProxyStream other = streams.get(hello.proxy());
+        if (other != null && other.hello().incarnation() != hello.incarnation()) {
+            // Two processes claim one number. The one that is here stays: if it is dead, its silence will
+            // end its stream, and the newcomer's next call is taken.
+            return new Frame.Goodbye(Frame.Reason.ID_IN_USE, "proxy " + hello.proxy() + " is joined from "
+                    + other.connection().remote());
+        }
+        if (other != null) {
+            other.end(Frame.Reason.MOVING, "the same proxy has joined again");
+        }
+        streams.put(hello.proxy(), stream);
+        driver.joined(loop.now(), hello);
+        LOG.info("proxy joined {} {} {}", kv("proxy", hello.proxy()), kv("name", hello.name()),
+                kv("held", hello.epoch() + "/" + hello.version()));
+        tickSoon();
+        return null;
+    }
+
+    @Override
+    public void heard(ProxyStream stream, Frame frame) {
+        int proxy = stream.hello().proxy();
+        if (streams.get(proxy) != stream) {
+            return;
+        }
+        if (frame instanceof Frame.Applied applied) {
+            driver.applied(loop.now(), proxy, applied);
+        } else if (frame instanceof Frame.Report report) {
+            driver.report(proxy, report);
+        } else if (frame instanceof Frame.Resync resync) {
+            LOG.warn("proxy asks for a snapshot {} {}", kv("proxy", proxy),
+                    kv("held", resync.epoch() + "/" + resync.version()));
+            driver.resync(loop.now(), proxy);
+        }
+        tickSoon();
+    }
+
+    @Override
+    public void over(ProxyStream stream, String why) {
+        if (stream.connection() != null && stream.connection().isClosed()) {
+            open--;
+        }
+        Frame.Hello hello = stream.hello();
+        if (hello == null) {
+            LOG.warn("stream over before it joined {} {}", kv("from", String.valueOf(
+                    stream.connection() == null ? null : stream.connection().remote())), kv("why", why));
+        } else if (streams.remove(hello.proxy(), stream)) {
+            driver.left(hello.proxy());
+            LOG.info("proxy left {} {}", kv("proxy", hello.proxy()), kv("why", why));
+            tickSoon();
+        }
+    }
+
+    // ---- what the driver asks ------------------------------------------------------------------------
+
+    @Override
+    public void watch(boolean on) {
+        roster.watch(on);
+    }
+
+    @Override
+    public void fetch() {
+        roster.fetch();
+    }
+
+    @Override
+    public void probe(Backend backend) {
+        prober.probe(backend);
+    }
+
+    @Override
+    public void send(int proxy, Frame frame) {
+        ProxyStream stream = streams.get(proxy);
+        if (stream != null) {
+            stream.send(frame);
+        }
+    }
+
+    @Override
+    public void log(String text) {
+        LOG.info("decision {}", kv("what", text));
+    }
+
+    @Override
+    public void decided(long now, List<Event> events, List<Action> actions, long took) {
+        decided.recordValue(Math.min(took, HIGHEST_TIMED));
+        if (trace != null) {
+            trace.write(now, events, actions);
+        }
+    }
+
+    // ---- ticks ---------------------------------------------------------------------------------------
+
+    /** Ticks keep the stated distance, so that what comes at once is decided at once. */
+    private void tickSoon() {
+        tickBy(Math.max(loop.now(), lastTick + config.tick()));
+    }
+
+    private void tickBy(long time) {
+        if (time < tickAt) {
+            if (tick != null) {
+                tick.cancel();
+            }
+            tickAt = time;
+            tick = loop.at(time, this::tickNow);
+        }
+    }
+
+    private void tickNow() {
+        tickAt = Long.MAX_VALUE;
+        lastTick = loop.now();
+        driver.tick(lastTick);
+        long next = driver.nextAt();
+        if (next != Long.MAX_VALUE) {
+            tickBy(Math.max(next, lastTick + config.tick()));
+        }
+    }
+
+    private void stats() {
+        if (trace != null) {
+            trace.flush();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        LOG.info("stats {} {} {} {} {} {} {} {} {} {} {}", kv("joined", driver.joinedCount()),
+                kv("waiting", Math.round(driver.waitingLines())),
+                kv("mostWaiting", Math.round(driver.mostWaitingLines())),
+                kv("lines", Math.round(driver.totalLines())),
+                kv("mostReportsWaiting", driver.mostWaitingReports()), kv("decides", decided.getTotalCount()),
+                kv("decideP50us", decided.getValueAtPercentile(50) / 1000),
+                kv("decideP99us", decided.getValueAtPercentile(99) / 1000),
+                kv("decideMaxUs", decided.getMaxValue() / 1000), kv("cpuMs", cpuMillis()),
+                kv("heapBytes", runtime.totalMemory() - runtime.freeMemory()));
+        loop.after(config.statsEvery(), this::stats);
+    }
+
+    private static long cpuMillis() {
+        return ManagementFactory.getOperatingSystemMXBean()
+                instanceof com.sun.management.OperatingSystemMXBean system
+                ? system.getProcessCpuTime() / 1_000_000 : -1;
+    }
+
+    /** Says goodbye to every proxy and closes the trace; the loop may then be stopped. */
+    public void stop() throws IOException {
+        listener.close();
+        List.copyOf(streams.values()).forEach(s -> s.end(Frame.Reason.STOPPING, "the controller stops"));
+        if (trace != null) {
+            trace.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/controller/TableStore.java
@@ -0,0 +1,101 @@
+package rowanmoor.controller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import rowanmoor.ControlApi.Admit;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Retry;
+import rowanmoor.channel.Frame;
+
+/** All tables, levels and withdrawals as ordered so far. */
+final class TableStore {
+
+    private static final class Table {
+        private final TreeMap<Backend, Double> lines = new TreeMap<>();
+        private final TreeMap<Integer, Frame.Level> levels = new TreeMap<>();
+    }
+
+    private final int classes;
+    private final TreeMap<Integer, Table> tables = new TreeMap<>();
+    private final TreeMap<Integer, Frame.Level> overall = new TreeMap<>();
+    private final TreeSet<Backend> withdrawn = new TreeSet<>();
+
+    TableStore(int classes) {
+        this.classes = classes;
+    }
+
+    private Table table(int number) {
+        return tables.computeIfAbsent(number, n -> new Table());
+    }
+
+    /** Weight 0 removes the line. */
+    void setLine(int number, Backend backend, double weight) {
+        if (weight > 0) {
+            table(number).lines.put(backend, weight);
+        } else {
+            table(number).lines.remove(backend);
+        }
+    }
+
+    void clear(int number) {
+        table(number).lines.clear();
+        table(number).levels.clear();
+    }
+
+    void withdraw(Backend backend, boolean out) {
+        if (out) {
+            withdrawn.add(backend);
+        } else {
+            withdrawn.remove(backend);
+        }
+    }
+
+    void admit(int number, Admit admit) {
+        put(table(number).levels, admit);
+    }
+
+    void admitOverall(Admit admit) {
+        put(overall, admit);
+    }
+
+    private void put(Map<Integer, Frame.Level> levels, Admit admit) {
+        for (int c = 0; c < classes; c++) {
+            if (admit.classes() == 0 || (admit.classes() >> c & 1) == 1) {
+                levels.put(c, new Frame.Level(1 << c, admit.level(), admit.retry()));
+            }
+        }
+    }
+
+    boolean holds(int number, Backend backend) {
+        return tables.containsKey(number) && tables.get(number).lines.containsKey(backend);
+    }
+
+    Frame.Table whole(int number) {
+        Table table = table(number);
+        List<Frame.Line> lines = new ArrayList<>();
+        table.lines.forEach((backend, weight) -> lines.add(new Frame.Line(backend, weight)));
+        return new Frame.Table(number, List.copyOf(lines), List.copyOf(table.levels.values()));
+    }
+
+    List<Backend> withdrawnOf(int number) {
+        return table(number).lines.keySet().stream().filter(withdrawn::contains).toList();
+    }
+
+    List<Frame.Level> overall() {
+        return List.copyOf(overall.values());
+    }
+
+    /** The weights ordered for a table; for readers outside the wire. */
+    Map<Backend, Double> lines(int number) {
+        return Map.copyOf(table(number).lines);
+    }
+
+    static Frame.Level level(Admit admit, int classCount) {
+        int set = admit.classes() == 0 ? (1 << classCount) - 1 : admit.classes();
+        Retry retry = admit.retry();
+        return new Frame.Level(set, admit.level(), retry);
+    }
+}
--- a/src/main/java/rowanmoor/http/ServerConnection.java
+++ b/src/main/java/rowanmoor/http/ServerConnection.java
@@ -10,7 +10,7 @@
  * ahead wait, at most {@value #AHEAD_MOST} bytes of them. A client that ends its bytes while its request
  * is in work has given up.
  */
-public final class ServerConnection implements Handler {
+public class ServerConnection implements Handler {
 
     static final int AHEAD_MOST = 1 << 16;
 
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/ControllerLoops.java
@@ -0,0 +1,65 @@
+package rowanmoor.lab;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import rowanmoor.config.ControllerConfig;
+import rowanmoor.controller.Controller;
+import rowanmoor.net.Loop;
+import rowanmoor.net.MemoryNet;
+
+/** Controllers on loops of a network in memory: the daemon's own code, on a manual clock. */
+final class ControllerLoops implements Controllers {
+
+    private static final long MILLI = 1_000_000L;
+
+    private final MemoryNet net;
+    private final DayFile day;
+    private final Consumer<Throwable> onFault;
+    private final Map<Integer, Loop> running = new TreeMap<>();
+    private long starts;
+
+    ControllerLoops(MemoryNet net, DayFile day, Consumer<Throwable> onFault) {
+        this.net = net;
+        this.day = day;
+        this.onFault = onFault;
+    }
+
+    @Override
+    public void start(int rank, InetSocketAddress roster, Up up) throws IOException {
+        Loop loop = net.loop(onFault);
+        running.put(rank, loop);
+        long epoch = ++starts;
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        ControllerConfig config = new ControllerConfig(day.site(), rank, day.controllerZones().size(),
+                day.controllerZones().get(rank), any, 5 * MILLI, 5000 * MILLI, 3000 * MILLI, 65535, 1 << 20,
+                roster, "backends", day.rosterWait(), day.emptyHold(), "/load", 250 * MILLI, 16, null,
+                1000 * MILLI);
+        Controller controller = new Controller(config, loop, day.seed() * 31 + epoch, epoch,
+                () -> net.now() / MILLI);
+        up.up(rank, controller.address(), epoch);
+    }
+
+    @Override
+    public void kill(int rank) {
+        Loop loop = running.remove(rank);
+        if (loop != null) {
+            net.kill(loop);
+        }
+    }
+
+    @Override
+    public void stall(int rank, boolean on) {
+        if (running.containsKey(rank)) {
+            net.freeze(running.get(rank), on);
+        }
+    }
+
+    @Override
+    public void close() {
+        Map.copyOf(running).keySet().forEach(this::kill);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/DayFile.java
@@ -0,0 +1,198 @@
+package rowanmoor.lab;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import rowanmoor.config.ConfigError;
+import rowanmoor.config.Section;
+import rowanmoor.config.Site;
+import rowanmoor.standin.BackendModel;
+import rowanmoor.standin.Clients;
+
+/**
+ * A day as its file has it. Times are nanoseconds.
+ *
+ * @param settle how long proxies have to join before load and troubles begin
+ * @param controllerZones a controller's zone, by rank
+ * @param proxySkew spread of what proxies get: standard deviation of the logarithm
+ * @param notice how long the roster takes to notice that a backend is gone or back
+ * @param rate requests a second
+ * @param swing part of the rate by which it rises and falls, over {@code swingOver}
+ * @param shares by class: its part of the requests
+ * @param work by class: mean work of a request, seconds on a core of speed 1
+ */
+public record DayFile(String name, long seed, long length, long settle, Site site,
+        List<Integer> controllerZones,
+        int proxies, double proxySkew, List<Group> groups, long notice, long rosterWait, long emptyHold,
+        double rate, double swing, long swingOver, double[] shares, double[] work, Clients.Habits habits,
+        List<Trouble> troubles, Map<String, Double> expectations) {
+
+    /** Backends of one kind. */
+    public record Group(int kind, int count, double weight, int connections, BackendModel.Spec spec) { }
+
+    private static final String WHOLE = "service";
+
+    public static DayFile read(Path file) throws ConfigError {
+        return read(Section.read(file));
+    }
+
+    /** Reads a document that has a day. */
+    static DayFile read(Section root) throws ConfigError {
+        Section d = root.section("day");
+        Site site = Site.of(root);
+        Section f = root.section("fleet");
+        List<Integer> controllers = new ArrayList<>();
+        for (String zone : f.texts("controllers", true)) {
+            if (!site.zones().contains(zone)) {
+                f.problem("controllers", "is not a zone of the site: " + zone);
+            }
+            controllers.add(Math.max(0, site.zones().indexOf(zone)));
+        }
+        List<Group> groups = new ArrayList<>();
+        for (Section b : f.sections("backends")) {
+            groups.add(group(b, site));
+        }
+        if (groups.isEmpty()) {
+            f.problem("backends", "is missing");
+        }
+        Section r = root.section("roster");
+        Section l = root.section("load");
+        double[] shares = new double[site.classes().size()];
+        double[] work = new double[site.classes().size()];
+        for (Section c : l.sections("class")) {
+            int cls = site.classNames().indexOf(c.name());
+            double share = c.number("share", 0, 1);
+            double seconds = c.duration("work", "1us", "60s") / 1e9;
+            if (cls < 0) {
+                c.problem("", "is not a class of the site");
+            } else {
+                shares[cls] = share;
+                work[cls] = seconds;
+            }
+            c.finish();
+        }
+        if (Arrays.stream(shares).sum() <= 0) {
+            l.problem("class", "no class has a share");
+        }
+        Section c = root.section("clients");
+        DayFile day = new DayFile(d.name(), d.whole("seed", 0, Integer.MAX_VALUE, 1),
+                d.duration("length", "1s", "1h"), d.duration("settle", "100ms", "60s", "3s"), site,
+                List.copyOf(controllers), f.whole("proxies", 1, site.proxies()),
+                f.number("proxy-skew", 0, 3, 0), List.copyOf(groups),
+                r.duration("notice", "0s", "60s", "1s"), r.duration("wait", "100ms", "60s", "2s"),
+                r.duration("empty-hold", "0s", "60s", "3s"), l.rate("rate", 0.1, 100000),
+                l.number("swing", 0, 1, 0), l.duration("swing-over", "1s", "1h", "20s"), shares, work,
+                new Clients.Habits(c.whole("retries", 0, 10, 0), c.duration("backoff", "0s", "60s", "100ms"),
+                        c.number("try-share", 0.05, 1, 1)),
+                troubles(root, site, controllers.size()), expectations(root, site));
+        for (Section s : List.of(d, f, r, l, c)) {
+            s.finish();
+        }
+        root.finish();
+        root.check();
+        return day;
+    }
+
+    private static Group group(Section b, Site site) {
+        int kind = site.kinds().indexOf(b.name());
+        if (kind < 0) {
+            b.problem("", "is not a kind of the site");
+        }
+        BackendModel.Spec spec = new BackendModel.Spec(b.whole("cores", 1, 1024),
+                b.number("speed", 0.001, 1000, 1), b.whole("slots", 1, 100000), b.whole("queue", 0, 100000),
+                b.number("cold-from", 0.01, 1, 1), b.duration("cold", "0s", "10min", "0s"),
+                b.number("fall-multiple", 1, 1e6, site.rules().fallMultiple()),
+                b.duration("fall-span", "100ms", "60s", site.rules().fallSpan() / 1_000_000 + "ms"));
+        Group group = new Group(Math.max(0, kind), b.whole("count", 1, 10000),
+                b.number("weight", 0.001, 1e6, 1), b.whole("connections", 1, 100000, 1000), spec);
+        b.finish();
+        return group;
+    }
+
+    private static List<Trouble> troubles(Section root, Site site, int controllers) {
+        List<Trouble> troubles = new ArrayList<>();
+        for (Section block : root.sections("troubles")) {
+            for (Section t : block.all()) {
+                Trouble.Kind kind = Trouble.Kind.words().get(t.kind());
+                if (kind == null) {
+                    block.problem(t.kind(), "is not a kind of trouble; there are "
+                            + String.join(", ", Trouble.Kind.words().keySet()));
+                    continue;
+                }
+                int zone = -1;
+                if (kind.needsZone()) {
+                    zone = site.zones().indexOf(t.text("zone"));
+                    if (zone < 0) {
+                        t.problem("zone", "is not a zone of the site");
+                    }
+                }
+                troubles.add(new Trouble(kind, t.duration("at", "0s", "1h"),
+                        t.duration("for", "0s", "1h", "0s"),
+                        kind.needsPart() ? t.number("part", 0, 1) : 1,
+                        kind.needsSize() ? t.number("size", 0, 1e9) : t.number("size", 0, 1e9, 1), zone,
+                        kind.needsController() ? t.whole("controller", 0, controllers - 1) : -1));
+                t.finish();
+            }
+        }
+        return List.copyOf(troubles);
+    }
+
+    private static Map<String, Double> expectations(Section root, Site site) {
+        Map<String, Double> least = new TreeMap<>();
+        for (Section e : root.sections("expect")) {
+            if (e.has(WHOLE)) {
+                least.put("", e.number(WHOLE, 0, 1));
+            }
+            for (Section c : e.sections("class")) {
+                if (!site.classNames().contains(c.name())) {
+                    c.problem("", "is not a class of the site");
+                }
+                least.put(c.name(), c.number(WHOLE, 0, 1));
+                c.finish();
+            }
+            if (!e.has(WHOLE) && least.isEmpty()) {
+                e.problem(WHOLE, "is missing");
+            }
+            e.finish();
+        }
+        return least;
+    }
+
+    /** The same day with another seed. */
+    public DayFile seed(long other) {
+        return new DayFile(name, other, length, settle, site, controllerZones, proxies, proxySkew, groups,
+                notice,
+                rosterWait, emptyHold, rate, swing, swingOver, shares, work, habits, troubles, expectations);
+    }
+
+    /** How many backends there are. */
+    public int backendCount() {
+        return groups.stream().mapToInt(Group::count).sum();
+    }
+
+    /** Requests a second over the day, bursts in it. */
+    Clients.RateAt rateAt() {
+        double most = troubles.stream().filter(t -> t.kind() == Trouble.Kind.BURST)
+                .mapToDouble(Trouble::size).reduce(1, (a, b) -> a * Math.max(1, b));
+        return new Clients.RateAt() {
+            @Override
+            public double at(long time) {
+                double now = rate * (1 + swing * Math.sin(2 * Math.PI * time / swingOver));
+                for (Trouble t : troubles) {
+                    if (t.kind() == Trouble.Kind.BURST && time >= t.at() && time < t.end()) {
+                        now *= t.size();
+                    }
+                }
+                return now;
+            }
+
+            @Override
+            public double most() {
+                return rate * (1 + swing) * most;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/Ground.java
@@ -0,0 +1,388 @@
+package rowanmoor.lab;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.stream.IntStream;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.config.Site;
+import rowanmoor.discovery.Addresses;
+import rowanmoor.net.Loop;
+import rowanmoor.proxy.Proxy;
+import rowanmoor.proxy.ProxyConfig;
+import rowanmoor.proxy.Router;
+import rowanmoor.standin.BackendServer;
+import rowanmoor.standin.Clients;
+import rowanmoor.standin.Ledger;
+import rowanmoor.standin.Link;
+import rowanmoor.standin.RosterServer;
+
+/**
+ * All of a run but its controllers: roster, backends and links on one loop (the stage), proxies and
+ * clients on theirs. Plays the day's troubles by the stage's timers. Build it before the loops run.
+ */
+final class Ground {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1000 * MILLI;
+    private static final long PAUSE_EVERY = SECOND;
+    private static final int FIRST_ZONE_NET = 10;
+
+    private final DayFile day;
+    private final Loop stage;
+    private final Loop clientLoop;
+    private final List<Loop> proxyLoops;
+    private final Controllers controllers;
+    private final LongSupplier wall;
+    private final Function<RouterParts, Router> routers;
+    private final Ledger ledger = new Ledger();
+    private final List<BackendServer> backends = new ArrayList<>();
+    private final Map<Backend, Evidence.Place> places = new TreeMap<>();
+    private final List<List<Link>> links = new ArrayList<>();
+    private final List<Proxy> proxies = new ArrayList<>();
+    private final List<Integer> proxyZones = new ArrayList<>();
+    private final List<List<Backend>> standing = new ArrayList<>();
+    private final List<Evidence.Recorder> recorders = new ArrayList<>();
+    private final Map<Long, Integer> ranks = new ConcurrentHashMap<>();
+    private final long[] proxyWeightsMilli;
+    private final long start;
+    private RosterServer roster;
+    private Clients clients;
+    private final SplittableRandom troubleRandom;
+
+    /** What a router is made of. */
+    record RouterParts(Site site, List<Backend> standing, SplittableRandom random, long now) { }
+
+    /** @param wall milliseconds since 1970, by which the roster states starts */
+    Ground(DayFile day, Loop stage, Loop clientLoop, List<Loop> proxyLoops, Controllers controllers,
+            LongSupplier wall, Function<RouterParts, Router> routers) throws IOException {
+        this.day = day;
+        this.stage = stage;
+        this.clientLoop = clientLoop;
+        this.proxyLoops = proxyLoops;
+        this.controllers = controllers;
+        this.wall = wall;
+        this.routers = routers;
+        this.start = stage.now() + day.settle();
+        this.troubleRandom = random(1);
+        this.proxyWeightsMilli = proxyWeights();
+        buildBackends();
+        buildProxies();
+        for (int rank = 0; rank < day.controllerZones().size(); rank++) {
+            startController(rank);
+        }
+        day.troubles().forEach(this::schedule);
+        buildClients();
+    }
+
+    private SplittableRandom random(long purpose) {
+        return new SplittableRandom(day.seed() * 1_000_003 + purpose);
+    }
+
+    private static InetSocketAddress anyPort() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    // ---- building ------------------------------------------------------------------------------------
+
+    private void buildBackends() throws IOException {
+        roster = new RosterServer(stage, anyPort(), "backends");
+        SplittableRandom random = random(2);
+        int number = 0;
+        for (DayFile.Group group : day.groups()) {
+            for (int i = 0; i < group.count(); i++) {
+                BackendServer server = new BackendServer(stage, anyPort(), group.spec(), group.connections(),
+                        random.split(), ledger);
+                int zone = number++ % day.site().zones().size();
+                backends.add(server);
+                places.put(server.backend(), new Evidence.Place(zone, group.kind()));
+                roster.put(new RosterServer.Instance(server.backend(), day.site().zones().get(zone),
+                        day.site().kinds().get(group.kind()), group.weight(), Listed.READY, 0));
+            }
+        }
+    }
+
+    private long[] proxyWeights() {
+        Random random = new Random(day.seed() * 1_000_003 + 3);
+        return IntStream.range(0, day.proxies()).mapToLong(i -> Math.max(1, Math.round(1000 * Math.exp(
+                day.proxySkew() * random.nextGaussian())))).toArray();
+    }
+
+    private void buildProxies() throws IOException {
+        SplittableRandom random = random(4);
+        double sum = java.util.Arrays.stream(proxyWeightsMilli).sum();
+        int zones = day.site().zones().size();
+        for (int p = 0; p < day.proxies(); p++) {
+            int zone = p % zones;
+            List<Link> its = new ArrayList<>();
+            for (int c = 0; c < day.controllerZones().size(); c++) {
+                its.add(new Link(stage, anyPort(), null));
+            }
+            links.add(its);
+            List<Backend> first = standingTable(zone, random);
+            standing.add(first);
+            proxyZones.add(zone);
+            Evidence.Recorder recorder = new Evidence.Recorder();
+            recorders.add(recorder);
+            ProxyConfig config = new ProxyConfig(day.site(), p, "proxy-" + p, zone,
+                    day.rate() * proxyWeightsMilli[p] / sum, anyPort(), zoneAddress(zone, p),
+                    its.stream().map(Link::address).toList(), p / zones % its.size(), 300 * MILLI, 3 * SECOND,
+                    first.stream().map(Addresses::socket).toList(), 15 * SECOND, 250 * MILLI, 4096, 1 << 20);
+            Loop loop = proxyLoops.get(p % proxyLoops.size());
+            Router router = routers.apply(new RouterParts(day.site(), first, random.split(),
+                    loop.now()));
+            proxies.add(new Proxy(config, loop, router, random.split(), recorder));
+        }
+    }
+
+    private List<Backend> standingTable(int zone, SplittableRandom random) {
+        List<Backend> own = new ArrayList<>(places.keySet().stream().filter(b -> places.get(b).zone() == zone)
+                .toList());
+        List<Backend> from = own.size() >= 3 ? own : new ArrayList<>(places.keySet());
+        Collections.shuffle(from, new Random(random.nextLong()));
+        return from.stream().limit(day.site().standing()).sorted().toList();
+    }
+
+    /** Loopback addresses tell a proxy's zone: 127.0.10.x is the first zone's. */
+    private static InetSocketAddress zoneAddress(int zone, int proxy) {
+        try {
+            byte[] address = {127, 0, (byte) (FIRST_ZONE_NET + zone), (byte) (1 + proxy % 250)};
+            return new InetSocketAddress(InetAddress.getByAddress(address), 0);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("four bytes are always an address", e);
+        }
+    }
+
+    private static int zoneOf(InetSocketAddress address) {
+        return address.getAddress().getAddress()[2] - FIRST_ZONE_NET;
+    }
+
+    private void buildClients() {
+        double[] weights = java.util.Arrays.stream(proxyWeightsMilli).asDoubleStream().toArray();
+        List<Clients.Arrival> arrivals = Clients.draw(random(5), day.length(), day.rateAt(), day.shares(),
+                day.work(), weights);
+        clients = new Clients(clientLoop, day.site(), proxies.stream().map(Proxy::address).toList(), arrivals,
+                day.habits(), start);
+    }
+
+    // ---- controllers ---------------------------------------------------------------------------------
+
+    private void startController(int rank) {
+        try {
+            controllers.start(rank, roster.address(), (its, at, epoch) -> {
+                ranks.put(epoch, its);
+                stage.post(() -> links.forEach(of -> of.get(its).to(at)));
+            });
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void killController(int rank) {
+        controllers.kill(rank);
+        links.forEach(of -> of.get(rank).to(null));
+    }
+
+    private void stallController(int rank, boolean on) {
+        try {
+            controllers.stall(rank, on);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    // ---- troubles ------------------------------------------------------------------------------------
+
+    private void schedule(Trouble trouble) {
+        stage.at(start + trouble.at(), () -> begin(trouble));
+    }
+
+    private void until(Trouble trouble, Runnable end) {
+        stage.at(start + trouble.end(), end);
+    }
+
+    private void begin(Trouble t) {
+        switch (t.kind()) {
+            case CRASH -> crash(t, struck(t));
+            case ZONE_LOSS -> crash(t, inZone(t.zone()));
+            case SLOW -> each(t, b -> b.slower(t.size()), b -> b.slower(1));
+            case FAST_ERRORS -> each(t, b -> b.failing(t.size()), b -> b.failing(0));
+            case ANSWERS_LOST -> each(t, b -> b.losing(t.size()), b -> b.losing(0));
+            case FALSE_REPORTS -> each(t, b -> b.falseLoad(t.size()), b -> b.falseLoad(1));
+            case PAUSES -> struck(t).forEach(b -> pause(t, b));
+            case BURST -> { } // its arrivals are drawn ahead
+            case ZONE_CUT -> cutZone(t);
+            case ROSTER_DOWN -> rosterDown(t);
+            case ROSTER_EMPTY -> roster.empty((int) t.size());
+            case PROXIES_CUT -> {
+                List<List<Link>> cut = struckLinks(t);
+                cut.forEach(of -> of.forEach(l -> l.cut(true)));
+                until(t, () -> cut.forEach(of -> of.forEach(l -> l.cut(false))));
+            }
+            case SLOW_READER -> {
+                List<List<Link>> slow = struckLinks(t);
+                slow.forEach(of -> of.forEach(l -> l.slow((long) t.size())));
+                until(t, () -> slow.forEach(of -> of.forEach(l -> l.slow(0))));
+            }
+            case CONTROLLER_KILL -> {
+                killController(t.controller());
+                until(t, () -> startController(t.controller()));
+            }
+            case CONTROLLER_STALL -> {
+                stallController(t.controller(), true);
+                until(t, () -> stallController(t.controller(), false));
+            }
+            case DRAIN -> drain(t);
+            default -> throw new IllegalStateException("no way to play " + t.kind());
+        }
+    }
+
+    private <T> List<T> sample(List<T> all, double part) {
+        List<T> mixed = new ArrayList<>(all);
+        Collections.shuffle(mixed, new Random(troubleRandom.nextLong()));
+        return mixed.stream().limit(Math.max(1, Math.round(part * all.size()))).toList();
+    }
+
+    private List<BackendServer> struck(Trouble t) {
+        return sample(backends.stream().filter(BackendServer::isRunning).toList(), t.part());
+    }
+
+    private List<List<Link>> struckLinks(Trouble t) {
+        return sample(links, t.part());
+    }
+
+    private List<BackendServer> inZone(int zone) {
+        return backends.stream().filter(b -> places.get(b.backend()).zone() == zone).toList();
+    }
+
+    private void each(Trouble t, java.util.function.Consumer<BackendServer> on,
+            java.util.function.Consumer<BackendServer> off) {
+        List<BackendServer> struck = struck(t);
+        struck.forEach(on);
+        until(t, () -> struck.forEach(off));
+    }
+
+    private void pause(Trouble t, BackendServer backend) {
+        if (stage.now() < start + t.end()) {
+            backend.stall(true);
+            stage.after((long) (t.size() * MILLI), () -> backend.stall(false));
+            stage.after(PAUSE_EVERY + (long) (t.size() * MILLI), () -> pause(t, backend));
+        }
+    }
+
+    /** The roster tells of a death, and of a return with its start, as late as it notices. */
+    private void crash(Trouble t, List<BackendServer> struck) {
+        for (BackendServer backend : struck) {
+            RosterServer.Instance listed = roster.instance(backend.backend());
+            backend.crash();
+            stage.after(day.notice(), () -> {
+                if (!backend.isRunning()) {
+                    roster.put(listed.with(Listed.GONE));
+                }
+            });
+            until(t, () -> {
+                try {
+                    backend.restart();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                long started = wall.getAsLong();
+                stage.after(day.notice(), () -> roster.put(listed.startedAt(started)));
+            });
+        }
+    }
+
+    private void drain(Trouble t) {
+        for (BackendServer backend : sample(inZone(t.zone()), t.part())) {
+            RosterServer.Instance listed = roster.instance(backend.backend());
+            if (listed != null) {
+                roster.put(listed.with(Listed.DRAINING));
+                until(t, () -> roster.put(listed));
+            }
+        }
+    }
+
+    private void rosterDown(Trouble t) {
+        try {
+            roster.down(true);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        until(t, () -> {
+            try {
+                roster.down(false);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    /** Streams and requests across the cut stand still; within either side all goes on. */
+    private void cutZone(Trouble t) {
+        setCut(t.zone(), true);
+        until(t, () -> setCut(t.zone(), false));
+    }
+
+    private void setCut(int zone, boolean on) {
+        for (BackendServer backend : backends) {
+            boolean inside = places.get(backend.backend()).zone() == zone;
+            backend.cut(on ? from -> zoneOf(from) >= 0 && zoneOf(from) < day.site().zones().size()
+                    && (zoneOf(from) == zone) != inside : null);
+        }
+        for (int p = 0; p < links.size(); p++) {
+            for (int c = 0; c < links.get(p).size(); c++) {
+                if ((proxyZones.get(p) == zone) != (day.controllerZones().get(c) == zone)) {
+                    links.get(p).get(c).cut(on);
+                }
+            }
+        }
+    }
+
+    // ---- reading -------------------------------------------------------------------------------------
+
+    long start() {
+        return start;
+    }
+
+    /** Whether the load is over and all is answered; read on the clients' loop. */
+    boolean done() {
+        return clients.done();
+    }
+
+    Clients clients() {
+        return clients;
+    }
+
+    int joinedProxies() {
+        return (int) proxies.stream().filter(Proxy::joined).count();
+    }
+
+    /** What was seen; once the loops have ended. */
+    Evidence evidence(long end) {
+        List<Evidence.Tapped> taps = new ArrayList<>();
+        recorders.forEach(r -> taps.addAll(r.seen()));
+        taps.sort(Comparator.comparingLong(Evidence.Tapped::at));
+        return new Evidence(day.site(), start, end, places, standing, taps, new HashMap<>(ranks), ledger,
+                roster.answers());
+    }
+
+    /** The worst multiple of its capacity that was ever sent to a cold backend over a fall span. */
+    double worstPush() {
+        return backends.stream().mapToDouble(b -> b.model().worstPush()).max().orElse(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/Played.java
@@ -0,0 +1,58 @@
+package rowanmoor.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import rowanmoor.config.Site;
+import rowanmoor.standin.Clients;
+
+/**
+ * A day that was played.
+ *
+ * @param stats lines of figures that controllers logged; empty for a simulated day
+ * @param faults what was thrown on any loop, which must be nothing
+ */
+public record Played(DayFile day, Evidence evidence, List<Judge.Verdict> verdicts, List<Clients.Met> met,
+        List<Clients.Outcome> outcomes, List<Double> changeMillis, double worstPush, List<JsonNode> stats,
+        List<String> faults) {
+
+    /** Worth answered in time over worth offered, of one class or (-1) of all. */
+    public double service(int cls) {
+        Site site = day.site();
+        double got = 0;
+        double asked = 0;
+        for (int c = 0; c < met.size(); c++) {
+            if (cls < 0 || cls == c) {
+                double worth = site.classes().get(c).worth();
+                got += worth * (met.get(c).good + site.classes().get(c).lateWorth() * met.get(c).late);
+                asked += worth * met.get(c).offered;
+            }
+        }
+        return asked == 0 ? 1 : got / asked;
+    }
+
+    /** One line for each of the file's expectations that does not hold. */
+    public List<String> unmet() {
+        List<String> unmet = new ArrayList<>();
+        for (Map.Entry<String, Double> least : day.expectations().entrySet()) {
+            int cls = day.site().classNames().indexOf(least.getKey());
+            double service = service(cls);
+            if (service < least.getValue()) {
+                unmet.add(String.format("service%s %.3f is below %.3f",
+                        cls < 0 ? "" : " of " + least.getKey(),
+                        service, least.getValue()));
+            }
+        }
+        return unmet;
+    }
+
+    public boolean rulesKept() {
+        return verdicts.stream().noneMatch(Judge.Verdict::broken);
+    }
+
+    /** Whether no rule broke, all expectations hold and nothing was thrown. */
+    public boolean passed() {
+        return rulesKept() && unmet().isEmpty() && faults.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/Player.java
@@ -0,0 +1,105 @@
+package rowanmoor.lab;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import rowanmoor.net.Loop;
+import rowanmoor.net.MemoryNet;
+import rowanmoor.proxy.Router;
+
+/** Plays days: on sockets with controllers in processes of their own, or simulated. */
+public final class Player {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1000 * MILLI;
+    private static final long AFTERWARDS = 2 * SECOND;
+    private static final long SIMULATED_START = 1_000_000 * SECOND;
+    private static final int PROXIES_A_LOOP = 64;
+
+    private Player() { }
+
+    private static Router router(Ground.RouterParts parts) {
+        return new Router(parts.site(), parts.standing(), parts.random(), parts.now());
+    }
+
+    /** Plays a day on a network in memory; the same day and seed always give the same bytes. */
+    public static Played simulate(DayFile day) throws IOException {
+        return simulate(day, day, Player::router);
+    }
+
+    /** Plays a day with controllers that may have other settings, and with other routers: for mutants. */
+    static Played simulate(DayFile day, DayFile controllersDay,
+            Function<Ground.RouterParts, Router> routers) throws IOException {
+        List<String> faults = new ArrayList<>();
+        MemoryNet net = new MemoryNet(SIMULATED_START, day.seed());
+        Loop stage = net.loop(e -> faults.add(e.toString()));
+        Controllers controllers = new ControllerLoops(net, controllersDay, e -> faults.add(e.toString()));
+        Ground ground = new Ground(day, stage, stage, List.of(stage), controllers, () -> net.now() / MILLI,
+                routers);
+        long end = ground.start() + day.length();
+        net.runUntil(end, () -> false);
+        net.runUntil(end + 60 * SECOND, ground::done);
+        net.runFor(AFTERWARDS);
+        controllers.close();
+        return played(day, ground, net.now(), List.of(), faults);
+    }
+
+    /** Plays a day on loopback sockets in real time. */
+    public static Played play(DayFile day, Path file, Path directory) throws IOException,
+            InterruptedException {
+        List<String> faults = Collections.synchronizedList(new ArrayList<>());
+        Loop stage = Loop.onSockets(e -> faults.add(e.toString()));
+        Loop clientLoop = Loop.onSockets(e -> faults.add(e.toString()));
+        List<Loop> proxyLoops = new ArrayList<>();
+        for (int p = 0; p < day.proxies(); p += PROXIES_A_LOOP) {
+            proxyLoops.add(Loop.onSockets(e -> faults.add(e.toString())));
+        }
+        ControllerProcesses controllers = new ControllerProcesses(day, file, directory);
+        try {
+            Ground ground = new Ground(day, stage, clientLoop, proxyLoops, controllers,
+                    System::currentTimeMillis, Player::router);
+            List<Loop> loops = new ArrayList<>(proxyLoops);
+            loops.add(stage);
+            loops.add(clientLoop);
+            List<Thread> threads = new ArrayList<>();
+            for (Loop loop : loops) {
+                Thread thread = new Thread(loop, "loop-" + threads.size());
+                threads.add(thread);
+                thread.start();
+            }
+            awaitEnd(day, ground, clientLoop);
+            long end = stage.now();
+            loops.forEach(Loop::stop);
+            for (Thread thread : threads) {
+                thread.join();
+            }
+            controllers.close();
+            return played(day, ground, end, controllers.stats(), faults);
+        } finally {
+            controllers.close();
+        }
+    }
+
+    private static void awaitEnd(DayFile day, Ground ground, Loop clientLoop) throws InterruptedException {
+        long latest = ground.start() + day.length() + 60 * SECOND;
+        AtomicBoolean done = new AtomicBoolean();
+        while (!done.get() && clientLoop.now() < latest) {
+            Thread.sleep(100);
+            clientLoop.post(() -> done.set(ground.done()));
+        }
+        Thread.sleep(AFTERWARDS / MILLI);
+    }
+
+    private static Played played(DayFile day, Ground ground, long end,
+            List<com.fasterxml.jackson.databind.JsonNode> stats, List<String> faults) {
+        Evidence evidence = ground.evidence(end);
+        Judge judge = new Judge(evidence);
+        return new Played(day, evidence, judge.verdicts(), ground.clients().met(),
+                ground.clients().outcomes(),
+                judge.changeToAppliedMillis(), ground.worstPush(), stats, List.copyOf(faults));
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/Report.java
@@ -0,0 +1,175 @@
+package rowanmoor.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Predicate;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import rowanmoor.standin.Clients;
+
+/** What is said of a played day: a text, and with a directory JSON lines and charts. */
+public final class Report {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final double SECOND = 1e9;
+
+    private Report() { }
+
+    /** The text that the command prints. */
+    public static String text(Played played) {
+        StringBuilder text = new StringBuilder();
+        DayFile day = played.day();
+        line(text, "%s, seed %d: %d controllers, %d proxies, %d backends, %.0f requests a second, %.0f s",
+                day.name(), day.seed(), day.controllerZones().size(), day.proxies(), day.backendCount(),
+                day.rate(), day.length() / SECOND);
+        line(text, "%n%-32s %10s %10s  %s", "rule", "limit", "worst", "");
+        for (Judge.Verdict v : played.verdicts()) {
+            line(text, "%-32s %10.3f %10.3f  %s%s", v.rule(), v.limit(), v.worst(),
+                    v.broken() ? "BROKEN " : "kept", v.broken() ? v.first() : " (" + v.unit() + ")");
+        }
+        line(text, "%n%-16s %8s %8s %6s %7s %8s %10s %10s", "class", "offered", "good", "late", "failed",
+                "service", "p50 ms", "p99 ms");
+        for (int c = 0; c < played.met().size(); c++) {
+            Clients.Met met = played.met().get(c);
+            line(text, "%-16s %8d %8d %6d %7d %8.3f %10.1f %10.1f", day.site().classNames().get(c),
+                    met.offered,
+                    met.good, met.late, met.failed, played.service(c),
+                    met.latency.getValueAtPercentile(50) / 1000.0,
+                    met.latency.getValueAtPercentile(99) / 1000.0);
+        }
+        line(text, "%-16s %8s %8s %6s %7s %8.3f", "all, by worth", "", "", "", "", played.service(-1));
+        changes(text, played);
+        line(text, "most sent to a cold backend: %.2f of its capacity (it falls at %.2f)", played.worstPush(),
+                day.site().rules().fallMultiple());
+        stats(text, played);
+        played.faults().forEach(f -> line(text, "fault: %s", f));
+        played.unmet().forEach(u -> line(text, "expectation: %s", u));
+        line(text, "%n%s", played.passed() ? "passed" : "FAILED");
+        return text.toString();
+    }
+
+    private static void line(StringBuilder text, String format, Object... arguments) {
+        text.append(String.format(Locale.ROOT, format, arguments)).append('\n');
+    }
+
+    private static void changes(StringBuilder text, Played played) {
+        List<Double> took = new ArrayList<>(played.changeMillis());
+        took.sort(null);
+        if (!took.isEmpty()) {
+            line(text, "%nfrom a roster change to the last proxy's next message: %d changes, p50 %.0f ms,"
+                    + " p99 %.0f ms, max %.0f ms", took.size(), at(took, 0.5), at(took, 0.99),
+                    took.get(took.size() - 1));
+        }
+    }
+
+    private static double at(List<Double> sorted, double part) {
+        return sorted.get((int) Math.min(sorted.size() - 1, Math.floor(part * sorted.size())));
+    }
+
+    private static void stats(StringBuilder text, Played played) {
+        for (int rank = 0; rank < played.day().controllerZones().size(); rank++) {
+            int its = rank;
+            JsonNode last = played.stats().stream().filter(s -> s.get("rank").asInt() == its)
+                    .reduce((a, b) -> b).orElse(null);
+            if (last != null) {
+                line(text, "controller %d: %d decisions, p50 %d us, p99 %d us, max %d us; CPU %d ms;"
+                        + " heap %d MiB; most lines waiting %d; most report lines waiting %d", rank,
+                        last.get("decides").asLong(), last.get("decideP50us").asLong(),
+                        last.get("decideP99us").asLong(), last.get("decideMaxUs").asLong(),
+                        last.get("cpuMs").asLong(), last.get("heapBytes").asLong() >> 20,
+                        last.get("mostWaiting").asLong(), last.get("mostReportsWaiting").asLong());
+            }
+        }
+    }
+
+    /** Writes text, outcomes, verdicts and charts into a directory. */
+    public static void write(Played played, Path directory) throws IOException {
+        Files.createDirectories(directory);
+        Files.writeString(directory.resolve("report.txt"), text(played));
+        try (BufferedWriter out = Files.newBufferedWriter(directory.resolve("day.jsonl"))) {
+            for (Judge.Verdict verdict : played.verdicts()) {
+                ObjectNode node = JSON.valueToTree(verdict);
+                out.write(node.put("what", "verdict").toString() + "\n");
+            }
+            for (Clients.Outcome outcome : played.outcomes()) {
+                ObjectNode node = JSON.createObjectNode().put("what", "outcome")
+                        .put("atMs", (outcome.arrivedAt() - played.evidence().start()) / 1e6)
+                        .put("class", played.day().site().classNames().get(outcome.cls()))
+                        .put("tookMs", outcome.took() / 1e6).put("answered", outcome.answered());
+                out.write(node + "\n");
+            }
+            for (JsonNode stat : played.stats()) {
+                out.write(((ObjectNode) stat.deepCopy()).put("what", "stats") + "\n");
+            }
+        }
+        chart(directory, "load", "requests a second", played, o -> true);
+        chart(directory, "served", "answered within the aim, a second", played, o -> o.answered()
+                && o.took() <= played.day().site().classes().get(o.cls()).aim());
+        waiting(directory, played);
+    }
+
+    private static void chart(Path directory, String name, String axis, Played played,
+            Predicate<Clients.Outcome> counts) throws IOException {
+        int seconds = (int) Math.ceil(played.day().length() / SECOND);
+        XYChart chart = empty(played.day().name() + ": " + name, axis);
+        for (int c = 0; c < played.met().size(); c++) {
+            double[] x = new double[seconds];
+            double[] y = new double[seconds];
+            for (int s = 0; s < seconds; s++) {
+                x[s] = s;
+            }
+            for (Clients.Outcome o : played.outcomes()) {
+                int second = (int) ((o.arrivedAt() - played.evidence().start()) / SECOND);
+                if (o.cls() == c && counts.test(o) && second >= 0 && second < seconds) {
+                    y[second]++;
+                }
+            }
+            chart.addSeries(played.day().site().classNames().get(c), x, y);
+        }
+        save(chart, directory, name);
+    }
+
+    private static void waiting(Path directory, Played played) throws IOException {
+        XYChart chart = empty(played.day().name() + ": lines waiting", "lines");
+        boolean any = false;
+        for (int rank = 0; rank < played.day().controllerZones().size(); rank++) {
+            List<Double> y = new ArrayList<>();
+            List<Integer> x = new ArrayList<>();
+            for (JsonNode stat : played.stats()) {
+                if (stat.get("rank").asInt() == rank) {
+                    x.add(x.size());
+                    y.add(stat.get("waiting").asDouble());
+                }
+            }
+            if (!x.isEmpty()) {
+                any = true;
+                chart.addSeries("controller " + rank, x, y);
+            }
+        }
+        if (any) {
+            save(chart, directory, "waiting");
+        }
+    }
+
+    private static XYChart empty(String title, String axis) {
+        XYChart chart = new XYChartBuilder().width(900).height(400).title(title).xAxisTitle("seconds")
+                .yAxisTitle(axis).build();
+        chart.getStyler().setMarkerSize(0);
+        return chart;
+    }
+
+    private static void save(XYChart chart, Path directory, String name) throws IOException {
+        VectorGraphicsEncoder.saveVectorGraphic(chart, directory.resolve(name).toString(),
+                VectorGraphicsFormat.SVG);
+    }
+}
--- a/src/main/java/rowanmoor/net/Clock.java
+++ b/src/main/java/rowanmoor/net/Clock.java
@@ -7,8 +7,11 @@
     /** Nanoseconds since an arbitrary moment; never less than an earlier answer. */
     long now();
 
-    /** The machine's monotonic clock. */
+    /**
+     * The machine's monotonic clock, moved on by a million seconds so that it is above 0 also for what began
+     * before it. On one machine all processes' answers can be compared where the platform's can.
+     */
     static Clock system() {
-        return System::nanoTime;
+        return () -> System.nanoTime() + 1_000_000_000_000_000L;
     }
 }
--- a/src/main/java/rowanmoor/net/MemoryNet.java
+++ b/src/main/java/rowanmoor/net/MemoryNet.java
@@ -58,6 +58,7 @@
     private final Set<InetSocketAddress> silent = new HashSet<>();
     private final List<Loop> loops = new ArrayList<>();
     private final List<MemoryPorts> ports = new ArrayList<>();
+    private final Set<Loop> frozen = new HashSet<>();
     private Faults faults = Faults.none();
     private long number;
     private int nextPort = 40_000;
@@ -77,10 +78,31 @@
         return loop;
     }
 
+    /** A loop's process is killed: its streams are reset, its timers never come due. */
+    public void kill(Loop loop) {
+        int place = loops.indexOf(loop);
+        ports.remove(place).close();
+        loops.remove(place);
+        frozen.remove(loop);
+    }
+
+    /** A loop's process stands still, or goes on. */
+    public void freeze(Loop loop, boolean on) {
+        if (on) {
+            frozen.add(loop);
+        } else {
+            frozen.remove(loop);
+        }
+    }
+
     public long now() {
         return clock.now();
     }
 
+    public Clock clock() {
+        return clock;
+    }
+
     public void faults(Faults others) {
         faults = others;
     }
@@ -108,7 +130,7 @@
             }
             long next = underWay.isEmpty() ? Long.MAX_VALUE : underWay.peek().time();
             for (Loop loop : loops) {
-                long timer = loop.untilNextTimer();
+                long timer = frozen.contains(loop) ? Long.MAX_VALUE : loop.untilNextTimer();
                 next = Math.min(next, timer == Long.MAX_VALUE ? timer : now() + timer);
             }
             if (next > time) {
@@ -134,10 +156,12 @@
                 throw new IllegalStateException("loops spin at " + now());
             }
             busy = false;
-            for (int i = 0; i < loops.size(); i++) {
-                if (ports.get(i).anyReady() || loops.get(i).hasWork()) {
+            for (Loop loop : List.copyOf(loops)) {
+                int place = loops.indexOf(loop);
+                boolean live = place >= 0 && !frozen.contains(loop);
+                if (live && (ports.get(place).anyReady() || loop.hasWork())) {
                     busy = true;
-                    loops.get(i).turn(0);
+                    loop.turn(0);
                 }
             }
         }
--- /dev/null
+++ b/src/main/java/rowanmoor/proxy/ChannelClient.java
@@ -0,0 +1,168 @@
+package rowanmoor.proxy;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import rowanmoor.channel.ChannelError;
+import rowanmoor.channel.ChannelLimits;
+import rowanmoor.channel.Codec;
+import rowanmoor.channel.Frame;
+import rowanmoor.channel.FrameReader;
+import rowanmoor.net.Close;
+import rowanmoor.net.Connection;
+import rowanmoor.net.Handler;
+import rowanmoor.net.Loop;
+import rowanmoor.net.Timer;
+
+/**
+ * A proxy's end of the channel: calls a controller, says hello, takes messages in order, and calls again
+ * when the stream ends. States: calling, open (hello sent), up (snapshot taken), waiting to call.
+ */
+final class ChannelClient implements Handler {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ChannelClient.class);
+
+    private final Loop loop;
+    private final ProxyConfig config;
+    private final Router router;
+    private final Runnable tablesChanged;
+    private final Redial redial;
+    private final long incarnation;
+    private final Tap tap;
+    private FrameReader reader;
+    private Connection connection;
+    private Timer firstSnapshot;
+    private boolean up;
+    private boolean stopped;
+    private int streams;
+
+    ChannelClient(Loop loop, ProxyConfig config, Router router, RandomGenerator random, Tap tap,
+            Runnable tablesChanged) {
+        this.loop = loop;
+        this.config = config;
+        this.router = router;
+        this.tap = tap;
+        this.tablesChanged = tablesChanged;
+        this.incarnation = random.nextLong();
+        this.redial = new Redial(config.controllers().size(), config.firstController(), config.redial(),
+                random);
+    }
+
+    void call() {
+        if (stopped) {
+            return;
+        }
+        InetSocketAddress to = config.controllers().get(redial.controller());
+        connection = loop.connect(config.from(), to, Connection.Options.usual()
+                .connectWithin(config.silentAfter()).idleAfter(config.silentAfter()), this);
+    }
+
+    void stop() {
+        stopped = true;
+        if (connection != null) {
+            send(new Frame.Goodbye(Frame.Reason.STOPPING, "the proxy stops"));
+            connection.end();
+        }
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    /** Sends a report, if the stream is up; false if it was not taken. */
+    boolean report(Frame.Report report) {
+        return up && send(report);
+    }
+
+    private boolean send(Frame frame) {
+        return connection.send(Codec.encode(frame));
+    }
+
+    @Override
+    public void opened(Connection its) {
+        tap.opened(config.number(), ++streams, loop.now());
+        reader = new FrameReader(ChannelLimits.usual());
+        boolean fresh = router.fresh();
+        router.streamBegins();
+        send(new Frame.Hello(Frame.PROTOCOL, config.number(), incarnation, config.zone(), config.rate(),
+                fresh,
+                router.epoch(), router.version(), config.name()));
+        firstSnapshot = loop.after(config.silentAfter(), () ->
+                connection.close(Close.IDLE, "no snapshot after the hello"));
+    }
+
+    @Override
+    public void received(Connection its, ByteBuffer bytes) {
+        tap.read(config.number(), streams, loop.now(), bytes.duplicate());
+        try {
+            while (bytes.hasRemaining() && connection.isOpen()) {
+                Frame frame = reader.next(bytes);
+                if (frame != null) {
+                    take(frame);
+                }
+            }
+        } catch (ChannelError e) {
+            send(new Frame.Goodbye(Frame.Reason.PROTOCOL, e.getMessage()));
+            connection.end();
+            LOG.warn("proxy {}: the controller's stream is broken: {}", config.number(), e.getMessage());
+        }
+    }
+
+    private void take(Frame frame) throws ChannelError {
+        if (frame instanceof Frame.Snapshot snapshot) {
+            router.heed(snapshot);
+            if (!up) {
+                up = true;
+                redial.up();
+                firstSnapshot.cancel();
+            }
+            tablesChanged.run();
+        } else if (frame instanceof Frame.Update update) {
+            take(update);
+        } else if (frame instanceof Frame.Ping ping) {
+            send(new Frame.Pong(ping.token()));
+        } else if (frame instanceof Frame.Goodbye goodbye) {
+            LOG.info("proxy {}: the controller says goodbye: {} {}", config.number(), goodbye.reason(),
+                    goodbye.text());
+            connection.close(Close.LOCAL, "goodbye: " + goodbye.reason());
+        } else if (!(frame instanceof Frame.Pong)) {
+            throw new ChannelError("a frame that a controller may not send: "
+                    + frame.getClass().getSimpleName());
+        }
+    }
+
+    private void take(Frame.Update update) {
+        Router.Heed heed = router.heed(update);
+        if (heed == Router.Heed.GAP) {
+            LOG.warn("proxy {}: version {}/{} does not follow on {}/{}", config.number(), update.epoch(),
+                    update.version(), router.epoch(), router.version());
+            send(new Frame.Resync(router.epoch(), router.version()));
+        } else if (heed == Router.Heed.DONE) {
+            for (Frame.Order order : update.orders()) {
+                if (order instanceof Frame.Mark mark) {
+                    send(new Frame.Applied(update.epoch(), update.version(), mark.number()));
+                }
+            }
+            tablesChanged.run();
+        }
+    }
+
+    @Override
+    public void closed(Connection its, Close why, String detail) {
+        boolean wasUp = up;
+        up = false;
+        if (firstSnapshot != null) {
+            firstSnapshot.cancel();
+        }
+        if (!why.neverMade()) {
+            tap.closed(config.number(), streams, loop.now());
+        }
+        long wait = redial.failed(wasUp);
+        LOG.debug("proxy {}: stream ended, {} {}; calling again in {} ms", config.number(), why, detail,
+                wait / 1_000_000);
+        loop.after(wait, this::call);
+    }
+}
--- /dev/null
+++ b/src/test/java/rowanmoor/channel/CodecTest.java
@@ -0,0 +1,124 @@
+package rowanmoor.channel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Retry;
+
+class CodecTest {
+
+    private static final ChannelLimits LIMITS = new ChannelLimits(4096, 50, 40);
+
+    static List<Frame> samples(Random random) {
+        Backend backend = new Backend(random.nextLong() >>> 16);
+        Frame.Level level = new Frame.Level(random.nextInt(65536), random.nextDouble() * 1e6, Retry.ONCE);
+        Frame.Table table = new Frame.Table(random.nextInt(65535), List.of(new Frame.Line(backend, 2.5)),
+                List.of(level));
+        return List.of(
+                new Frame.Hello(1, random.nextInt(65535), random.nextLong(), 3, 12.5, true, random.nextLong(),
+                        5, "proxy \u00e9"),
+                new Frame.Snapshot(random.nextLong(), 4, random.nextLong(), 77, List.of(table),
+                        List.of(new Frame.Binding(1, 2)), List.of(backend), List.of(level)),
+                new Frame.Update(random.nextLong(), 6, random.nextLong(), 8, List.of(
+                        new Frame.SetLine(4, new Frame.Line(backend, 0)), new Frame.Clear(3),
+                        new Frame.Withdraw(backend, true), new Frame.Admit(65535, level),
+                        new Frame.Bind(0, table, List.of(backend)), new Frame.Mark(random.nextInt(65536)))),
+                new Frame.Applied(random.nextLong(), 9, 65535),
+                new Frame.Report(List.of(new Frame.Tally(backend, 4294967295L, 7, 8, 9, List.of(0.5, 3.0))),
+                        List.of(new Frame.Use(2, 3, 1, 5))),
+                new Frame.Ping(random.nextLong()), new Frame.Pong(random.nextLong()),
+                new Frame.Goodbye(Frame.Reason.SLOW, "too slow"), new Frame.Resync(random.nextLong(), 3));
+    }
+
+    @Property(seed = "31", tries = 100)
+    void framesComeBackAsTheyWentHoweverTheyAreSplit(@ForAll long seed) throws ChannelError {
+        Random random = new Random(seed);
+        List<Frame> frames = samples(random);
+        FrameReader reader = new FrameReader(LIMITS);
+        List<Frame> read = new ArrayList<>();
+        for (Frame frame : frames) {
+            ByteBuffer bytes = Codec.encode(frame);
+            while (bytes.hasRemaining()) {
+                int count = Math.min(bytes.remaining(), 1 + random.nextInt(20));
+                ByteBuffer piece = bytes.slice(bytes.position(), count);
+                bytes.position(bytes.position() + count);
+                while (piece.hasRemaining()) {
+                    Frame next = reader.next(piece);
+                    if (next != null) {
+                        read.add(next);
+                    }
+                }
+            }
+        }
+        assertEquals(frames, read);
+    }
+
+    /**
+     * Whatever bits are flipped: the codec's own error or a frame, and no more memory than a frame may
+     * have.
+     */
+    @Property(seed = "37", tries = 2000)
+    void corruptedFramesAreRefusedOrRead(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<Frame> frames = samples(random);
+        byte[] bytes = Codec.encode(frames.get(random.nextInt(frames.size()))).array();
+        for (int i = 0; i < 1 + random.nextInt(4); i++) {
+            bytes[4 + random.nextInt(bytes.length - 4)] ^= (byte) (1 << random.nextInt(8));
+        }
+        try {
+            Codec.decode(ByteBuffer.wrap(bytes, 4, bytes.length - 4).slice(), LIMITS);
+        } catch (ChannelError e) {
+            assertTrue(e.getMessage() != null);
+        }
+    }
+
+    @Test
+    void aLengthOf4GiBIsRefusedBeforeAnythingIsAllocated() {
+        FrameReader reader = new FrameReader(LIMITS);
+        ByteBuffer length = ByteBuffer.allocate(4).putInt(0xffffffff).flip();
+        assertThrows(ChannelError.class, () -> reader.next(length));
+        assertThrows(ChannelError.class, () -> reader.next(Codec.encode(new Frame.Ping(1))));
+    }
+
+    @Test
+    void aListLongerThanItsFrameIsRefusedByItsCount() {
+        ByteBuffer frame = ByteBuffer.allocate(64).put((byte) 5).putShort((short) 49).put(new byte[40]).flip();
+        assertThrows(ChannelError.class, () -> Codec.decode(frame, LIMITS));
+    }
+
+    @Test
+    void aHelloFromAnUnknownVersionIsReadAsFarAsItsVersion() throws ChannelError {
+        ByteBuffer frame = ByteBuffer.allocate(16).put((byte) 1).putInt(0x52574d43).putShort((short) 900)
+                .put(new byte[] {1, 2, 3}).flip();
+        assertEquals(900, ((Frame.Hello) Codec.decode(frame, LIMITS)).protocol());
+    }
+
+    @Test
+    void bytesBehindTheLastFieldAndNegativeWeightsAreRefused() {
+        byte[] ping = Codec.encode(new Frame.Ping(1)).array();
+        ByteBuffer more = ByteBuffer.allocate(20).put(ping, 4, 9).put((byte) 0).flip();
+        assertThrows(ChannelError.class, () -> Codec.decode(more, LIMITS));
+        ByteBuffer negative = Codec.encode(new Frame.Update(1, 1, 1, 1, List.of(new Frame.SetLine(1,
+                new Frame.Line(new Backend(1), -1))))).position(4).slice();
+        assertThrows(ChannelError.class, () -> Codec.decode(negative, LIMITS));
+    }
+
+    @Test
+    void aFrameCutInTheMiddleIsNotYetOne() throws ChannelError {
+        FrameReader reader = new FrameReader(LIMITS);
+        ByteBuffer bytes = Codec.encode(new Frame.Ping(5));
+        bytes.limit(7);
+        assertNull(reader.next(bytes));
+        assertTrue(reader.inFrame());
+    }
+}
--- a/src/test/java/rowanmoor/cli/MainTest.java
+++ b/src/test/java/rowanmoor/cli/MainTest.java
@@ -5,35 +5,68 @@
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
 
 class MainTest {
 
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
 
-    private int run(byte[] input, String... args) {
-        return Main.run(args, new ByteArrayInputStream(input), out, new PrintStream(err, true));
+    private int run(String... args) {
+        CommandLine line = Commands.commandLine();
+        line.setOut(new PrintWriter(out));
+        line.setErr(new PrintWriter(err));
+        return line.execute(args);
     }
 
     @Test
-    void anUnknownSubcommandPrintsUsage() {
-        assertEquals(2, run(new byte[0], "dance"));
-        assertTrue(err.toString().startsWith("usage: rowanmoor"));
-        assertEquals(2, run(new byte[0]));
+    void benchlinkEndsWellWithTheInputAndBadlyWithinABatch() {
+        var written = new ByteArrayOutputStream();
+        PrintStream stream = new PrintStream(written);
+        assertEquals(0, Main.benchlink(new ByteArrayInputStream(new byte[0]), stream, stream));
+        assertEquals(1, Main.benchlink(new ByteArrayInputStream(new byte[5]), stream, stream));
+        assertTrue(written.toString().startsWith("rowanmoor: "), written.toString());
     }
 
     @Test
-    void helpGoesToStandardOutput() {
-        assertEquals(0, run(new byte[0], "help"));
-        assertTrue(out.toString().contains("benchlink"));
+    void anUnknownCommandIsSaidAndCostsTwo() {
+        assertEquals(2, run("nonsense"));
+        assertTrue(err.toString().contains("nonsense"), err.toString());
     }
 
     @Test
-    void theInputsEndIsAGoodEndAndATruncatedFrameIsNot() {
-        assertEquals(0, run(new byte[0], "benchlink"));
-        assertEquals(1, run(new byte[] {1, 2, 3}, "benchlink"));
-        assertEquals("rowanmoor: the input ends within a batch's header\n", err.toString());
+    void allSamplesAreRight() throws IOException {
+        for (String folder : List.of("days", "conf")) {
+            try (Stream<Path> files = Files.list(Path.of(folder))) {
+                for (Path file : files.toList()) {
+                    assertEquals(0, run("check", file.toString()), file + ": " + err);
+                }
+            }
+        }
+    }
+
+    @Test
+    void everythingWrongWithAFileIsToldAtOnceWithItsPlace(@TempDir Path dir) throws IOException {
+        Path bad = dir.resolve("bad.kdl");
+        Files.writeString(bad, Files.readString(Path.of("days/bad-day.kdl"))
+                .replace("bare \"3s\"", "bare 3").replace("proxies 8\n    period", "proxys 8\n    period")
+                .replace("rate \"140/s\"", "rate \"140\"").replace("cold-from 0.2\n", "cold-from 2\n"));
+        assertEquals(1, run("check", bad.toString()));
+        String said = err.toString();
+        for (String part : List.of("site.rules.bare: takes a time with its unit", "site.proxies: is missing",
+                "site.proxys: is not a key here", "load.rate: takes a rate", "cold-from: is out of range")) {
+            assertTrue(said.contains(part), part + " is not in:\n" + said);
+        }
+        assertTrue(said.lines().allMatch(l -> l.matches(".*bad\\.kdl:[0-9]+:[0-9]+: .*")), said);
     }
 }
--- /dev/null
+++ b/src/test/java/rowanmoor/http/ParserTest.java
@@ -0,0 +1,140 @@
+package rowanmoor.http;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ParserTest {
+
+    private static final Limits SMALL = new Limits(64, 200, 8, 100);
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static Message.Request request(String text) throws HttpError {
+        return (Message.Request) Parser.ofRequests(SMALL).next(bytes(text));
+    }
+
+    @Test
+    void readsALengthAndChunksWithTrailers() throws HttpError {
+        assertArrayEquals("hello".getBytes(), request("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello")
+                .body());
+        Message.Request chunked = request("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\nT: v\r\n\r\n");
+        assertArrayEquals("hello".getBytes(), chunked.body());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+        "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: +1\r\n\r\nx",
+        "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0x1\r\n\r\nx",
+        "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1, 1\r\n\r\nx",
+        "GET /a HTTP/1.1\r\nHost: h\r\n folded: x\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\rX: y\r\n\r\n",
+        "GET /a HTTP/1.1\nHost: h\n\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nX: a\u0000b\r\n\r\n",
+        "GET /a HTTP/1.1\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+        "GET  /a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET /a HTTP/2.0\r\nHost: h\r\n\r\n",
+        "GE(T /a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "\r\n\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhelX",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",
+        "GET /aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa HTTP/1.1\r\n"
+    })
+    void whatSmugglesOrIsTooLongIsRefusedHoweverItIsSplit(String text) {
+        assertThrows(HttpError.class, () -> request(text));
+        Parser parser = Parser.ofRequests(SMALL);
+        assertThrows(HttpError.class, () -> {
+            for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
+                parser.next(ByteBuffer.wrap(new byte[] {b}));
+            }
+        });
+        assertThrows(HttpError.class, () -> parser.next(bytes("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+    }
+
+    @Test
+    void tooManyFieldsCost431() {
+        HttpError error = assertThrows(HttpError.class, () ->
+                request("GET /a HTTP/1.1\r\nHost: h\r\n" + "a: b\r\n".repeat(8) + "\r\n"));
+        assertEquals(431, error.status());
+    }
+
+    @Test
+    void anAnswerToHeadHasNoContentAndOneWithoutLengthLastsToTheEnd() throws HttpError {
+        Parser parser = Parser.ofResponses(SMALL);
+        parser.expectAnswerTo("HEAD");
+        Message.Response head = (Message.Response) parser.next(bytes(
+                "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"));
+        assertEquals(0, head.body().length);
+        parser.expectAnswerTo("GET");
+        assertNull(parser.next(bytes("HTTP/1.1 200 OK\r\n\r\nup to the end")));
+        assertArrayEquals("up to the end".getBytes(), parser.end().body());
+        assertNull(parser.next(bytes("HTTP/1.1 200 OK\r\nContent-Le")));
+        assertThrows(HttpError.class, parser::end);
+    }
+
+    /** No exception but the parser's own, and splitting the input anywhere changes nothing. */
+    @Property(seed = "17")
+    void anyBytesAreReadAlikeHoweverTheyAreSplit(@ForAll @Size(max = 120) byte[] noise, @ForAll long seed) {
+        String[] parts = {"GET /a HTTP/1.1\r\n", "Host: h\r\n", "Content-Length: 3\r\n", "\r\n", "abc",
+            "Transfer-Encoding: chunked\r\n", "2\r\n", "0\r\n", "\r\n\r\n", "HTTP/1.1 200 OK\r\n",
+            new String(noise, StandardCharsets.ISO_8859_1)};
+        Random random = new Random(seed);
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 12; i++) {
+            text.append(parts[random.nextInt(parts.length)]);
+        }
+        byte[] all = text.toString().getBytes(StandardCharsets.ISO_8859_1);
+        for (boolean requests : new boolean[] {true, false}) {
+            String whole = story(requests, all, all.length, random);
+            assertEquals(whole, story(requests, all, 1, random));
+            assertEquals(whole, story(requests, all, 9, random));
+        }
+    }
+
+    private static String story(boolean requests, byte[] all, int most, Random random) {
+        Parser parser = requests ? Parser.ofRequests(SMALL) : Parser.ofResponses(SMALL);
+        List<String> story = new ArrayList<>();
+        try {
+            for (int at = 0; at < all.length;) {
+                int count = Math.min(all.length - at, most == all.length ? most : 1 + random.nextInt(most));
+                ByteBuffer piece = ByteBuffer.wrap(all, at, count);
+                while (piece.hasRemaining()) {
+                    Message message = parser.next(piece);
+                    if (message != null) {
+                        story.add(message.fields() + new String(message.body(), StandardCharsets.ISO_8859_1));
+                    }
+                }
+                at += count;
+            }
+        } catch (HttpError e) {
+            story.add(e.status() + e.getMessage());
+        }
+        return story.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/rowanmoor/kdl/KdlTest.java
@@ -0,0 +1,105 @@
+package rowanmoor.kdl;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.math.BigDecimal;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class KdlTest {
+
+    private static Object first(String value) throws KdlError {
+        return Parser.parse("n " + value).get(0).arguments().get(0).content();
+    }
+
+    @Test
+    void nodesHaveArgumentsPropertiesChildrenAndAnnotations() throws KdlError {
+        List<Node> nodes = Parser.parse("(t)node 1 (u)\"two\" key=#true key=#false { child; other 3 }; last");
+        Node node = nodes.get(0);
+        assertEquals("t", node.type());
+        assertEquals("u", node.arguments().get(1).type());
+        assertEquals(false, node.properties().get("key").content());
+        assertEquals(List.of("child", "other"), node.children().stream().map(Node::name).toList());
+        assertEquals("last", nodes.get(1).name());
+    }
+
+    @Test
+    void slashDashDropsNodesEntriesAndBlocks() throws KdlError {
+        List<Node> nodes = Parser.parse("/- gone 1 { x }\nkept /-1 2 /-k=3 /-{ a } { b }\n/-\n gone");
+        assertEquals(1, nodes.size());
+        assertEquals(1, nodes.get(0).arguments().size());
+        assertEquals(0, nodes.get(0).properties().size());
+        assertEquals("b", nodes.get(0).children().get(0).name());
+    }
+
+    @Test
+    void commentsNestAndLinesContinue() throws KdlError {
+        Node node = Parser.parse("a /* x /* y */ z */ 1 \\ // more\n  2 // end\n").get(0);
+        assertEquals(2, node.arguments().size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"10|10", "-1_000.5e+2|-100050", "0xFf|255", "-0b1_01|-5", "0o17|15"})
+    void numbers(String text, String number) throws KdlError {
+        assertEquals(0, new BigDecimal(number).compareTo((BigDecimal) first(text)));
+    }
+
+    @Test
+    void strings() throws KdlError {
+        assertEquals("a\n\"\\ \u00e9", first("\"a\\n\\\"\\\\\\s\\u{e9}\""));
+        assertEquals("ab", first("\"a\\   \n   b\""));
+        assertEquals("a\\n\"", first("#\"a\\n\"\"#"));
+        assertEquals("one\n  two\n\nthree", first("\"\"\"\n   one\n     two\n\n   three\n   \"\"\""));
+        assertEquals("a\\tb", first("##\"\"\"\n a\\tb\n \"\"\"##"));
+        assertEquals("a\tb", first("\"\"\"\n a\\tb\n \"\"\""));
+        assertEquals("bare-word", first("bare-word"));
+        assertEquals("-", first("-"));
+        assertEquals(null, first("#null"));
+        assertEquals(Value.Special.MINUS_INFINITY, first("#-inf"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a {", "a }", "a \"x", "a \"x\ny\"", "a true", "a 1x", "a .5", "a +.5", "a #yes", "a b=",
+        "a 1=2", "a (t", "a /* x", "a \\ x", "a \"\\q\"", "a \"\\u{110000}\"", "a \"\"\"x\"\"\"",
+        "a \"\"\"\n  x\n y\n  \"\"\"", "a {} 1", "a {} {}", "a\"b\"", "a 0x", "a 1__e", "a 1e99999",
+        "a \u0001", "(t)", "/-", "a 1\"b\"", "=", "a #\"x\""})
+    void whatIsNoDocumentIsRefusedWithItsPlace(String text) {
+        KdlError error = assertThrows(KdlError.class, () -> Parser.parse(text));
+        assertTrue(error.line() >= 1 && error.column() >= 1);
+    }
+
+    @Test
+    void errorsNameLineAndColumn() {
+        KdlError error = assertThrows(KdlError.class, () -> Parser.parse("a 1\r\nb {\r\n  c true\r\n}"));
+        assertEquals("3:5", error.line() + ":" + error.column());
+    }
+
+    @Test
+    void deepNestingIsRefusedAndDoesNotExhaustTheStack() {
+        assertThrows(KdlError.class, () -> Parser.parse("a{".repeat(100_000)));
+    }
+
+    @Property(seed = "23")
+    void anyTextIsReadOrRefused(@ForAll long seed, @ForAll String noise) {
+        String[] parts = {"a", " ", "\"", "\"\"\"", "#", "\\", "\n", "{", "}", "(", ")", "/-", "/*", "*/", "//",
+            "=", "1", "0x", "e", "-", "#true", ";", "\\u{41}", noise};
+        Random random = new Random(seed);
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 25; i++) {
+            text.append(parts[random.nextInt(parts.length)]);
+        }
+        try {
+            Parser.parse(text.toString());
+        } catch (KdlError e) {
+            assertTrue(e.line() >= 1);
+        }
+    }
+}
