--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -17,6 +17,7 @@
 import rowanmoor.config.ConfigError;
 import rowanmoor.config.ControllerConfig;
 import rowanmoor.config.Section;
+import rowanmoor.config.Site;
 import rowanmoor.controller.Controller;
 import rowanmoor.controller.Trace;
 import rowanmoor.lab.DayFile;
@@ -91,7 +92,13 @@
             ProxyConfig.read(file);
             return "a proxy";
         }
-        throw new ConfigError(List.of(file + ":1:1: has no day, no controller and no proxy"));
+        if (root.has("site")) {
+            Site.of(root);
+            root.finish();
+            root.check();
+            return "a site";
+        }
+        throw new ConfigError(List.of(file + ":1:1: has no day, controller, proxy or site"));
     }
 
     @Command(name = "controller", description = "Runs a controller until it is stopped.")
--- a/src/main/java/rowanmoor/lab/Player.java
+++ b/src/main/java/rowanmoor/lab/Player.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import rowanmoor.net.Loop;
 import rowanmoor.net.MemoryNet;
@@ -26,20 +27,33 @@
         return new Router(parts.site(), parts.standing(), parts.random(), parts.now());
     }
 
+    /**
+     * What a mutant changes.
+     *
+     * @param controllersDay the day by which controllers are set up
+     * @param between what stands between controllers and proxies
+     */
+    record Mutant(DayFile controllersDay, Function<Ground.RouterParts, Router> routers,
+            BiFunction<Loop, Controllers, Controllers> between) {
+
+        static Mutant none(DayFile day) {
+            return new Mutant(day, Player::router, (loop, controllers) -> controllers);
+        }
+    }
+
     /** Plays a day on a network in memory; the same day and seed always give the same bytes. */
     public static Played simulate(DayFile day) throws IOException {
-        return simulate(day, day, Player::router);
+        return simulate(day, Mutant.none(day));
     }
 
-    /** Plays a day with controllers that may have other settings, and with other routers: for mutants. */
-    static Played simulate(DayFile day, DayFile controllersDay,
-            Function<Ground.RouterParts, Router> routers) throws IOException {
+    static Played simulate(DayFile day, Mutant mutant) throws IOException {
         List<String> faults = new ArrayList<>();
         MemoryNet net = new MemoryNet(SIMULATED_START, day.seed());
         Loop stage = net.loop(e -> faults.add(e.toString()));
-        Controllers controllers = new ControllerLoops(net, controllersDay, e -> faults.add(e.toString()));
+        Controllers controllers = mutant.between().apply(stage, new ControllerLoops(net,
+                mutant.controllersDay(), e -> faults.add(e.toString())));
         Ground ground = new Ground(day, stage, stage, List.of(stage), controllers, () -> net.now() / MILLI,
-                routers);
+                mutant.routers());
         long end = ground.start() + day.length();
         net.runUntil(end, () -> false);
         net.runUntil(end + 60 * SECOND, ground::done);
--- /dev/null
+++ b/src/test/java/rowanmoor/ArchitectureTest.java
@@ -0,0 +1,82 @@
+package rowanmoor;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** The packages' arrows run one way, and decisions are free of I/O and of clocks. */
+class ArchitectureTest {
+
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("rowanmoor");
+
+    @Test
+    void arrowsRunOneWay() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("core").definedBy("rowanmoor")
+                .layer("benchlink").definedBy("rowanmoor.benchlink")
+                .layer("kdl").definedBy("rowanmoor.kdl")
+                .layer("config").definedBy("rowanmoor.config")
+                .layer("net").definedBy("rowanmoor.net")
+                .layer("http").definedBy("rowanmoor.http")
+                .layer("channel").definedBy("rowanmoor.channel")
+                .layer("discovery").definedBy("rowanmoor.discovery")
+                .layer("controller").definedBy("rowanmoor.controller")
+                .layer("proxy").definedBy("rowanmoor.proxy")
+                .layer("standin").definedBy("rowanmoor.standin")
+                .layer("lab").definedBy("rowanmoor.lab")
+                .layer("cli").definedBy("rowanmoor.cli")
+                .whereLayer("core").mayNotAccessAnyLayer()
+                .whereLayer("benchlink").mayOnlyAccessLayers("core")
+                .whereLayer("kdl").mayNotAccessAnyLayer()
+                .whereLayer("net").mayNotAccessAnyLayer()
+                .whereLayer("config").mayOnlyAccessLayers("core", "kdl")
+                .whereLayer("http").mayOnlyAccessLayers("net")
+                .whereLayer("channel").mayOnlyAccessLayers("core")
+                .whereLayer("discovery").mayOnlyAccessLayers("core", "config", "net", "http")
+                .whereLayer("controller").mayOnlyAccessLayers("core", "config", "net", "http", "channel",
+                        "discovery")
+                .whereLayer("proxy").mayOnlyAccessLayers("core", "config", "net", "http", "channel",
+                        "discovery")
+                .whereLayer("standin").mayOnlyAccessLayers("core", "config", "net", "http", "discovery",
+                        "proxy")
+                .whereLayer("lab").mayNotBeAccessedByAnyLayer()
+                .whereLayer("cli").mayNotBeAccessedByAnyLayer()
+                .ignoreDependency(com.tngtech.archunit.base.DescribedPredicate.describe("the command line",
+                        c -> c.getPackageName().equals("rowanmoor.cli")),
+                        com.tngtech.archunit.base.DescribedPredicate.alwaysTrue())
+                .check(ALL);
+    }
+
+    @Test
+    void modulesThatDecideDoNoIo() {
+        noClasses().that().resideInAPackage("rowanmoor").or().haveSimpleName("Driver").or()
+                .haveSimpleName("Intake").or().haveSimpleName("Outbox").or().haveSimpleName("TableStore").or()
+                .haveSimpleName("RosterView").or().haveSimpleName("Router").or().haveSimpleName("Tallies").or()
+                .haveSimpleName("Redial").or().haveSimpleName("BackendModel").or().haveSimpleName("Judge").or()
+                .haveSimpleName("Mirror")
+                .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio.channels..",
+                        "java.nio.file..", "java.net..", "rowanmoor.net..", "org.slf4j..")
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+    }
+
+    @Test
+    void nothingStaticChanges() {
+        fields().that().areStatic().should().beFinal().check(ALL);
+    }
+
+    @Test
+    void theBenchsAdapterTouchesNoLibrary() {
+        classes().that().resideInAPackage("rowanmoor.benchlink").or().resideInAPackage("rowanmoor").or()
+                .haveFullyQualifiedName("rowanmoor.cli.Main")
+                .should().onlyDependOnClassesThat().resideInAnyPackage("java..", "rowanmoor",
+                        "rowanmoor.benchlink", "rowanmoor.cli").check(ALL);
+    }
+}
