--- /dev/null
+++ b/src/test/java/rowanmoor/controller/ControllerTest.java
@@ -0,0 +1,273 @@
+package rowanmoor.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.channel.ChannelError;
+import rowanmoor.channel.ChannelLimits;
+import rowanmoor.channel.Codec;
+import rowanmoor.channel.Frame;
+import rowanmoor.channel.FrameReader;
+import rowanmoor.config.ControllerConfig;
+import rowanmoor.net.Close;
+import rowanmoor.net.Connection;
+import rowanmoor.net.Handler;
+import rowanmoor.net.Loop;
+import rowanmoor.net.MemoryNet;
+import rowanmoor.standin.RosterServer;
+
+/** A controller on pipes in memory, with peers that misbehave. */
+class ControllerTest {
+
+    private static final long MS = 1_000_000;
+    private static final long START = 1_000_000_000_000_000L;
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private final List<Throwable> faults = new ArrayList<>();
+    private final MemoryNet net = new MemoryNet(START, 11);
+    private final Loop loop = net.loop(faults::add);
+    private RosterServer roster;
+    private Controller controller;
+
+    @BeforeEach
+    void start() throws Exception {
+        roster = new RosterServer(loop, ANY, "backends");
+        for (int i = 0; i < 6; i++) {
+            roster.put(new RosterServer.Instance(backend(i), i % 2 == 0 ? "north" : "south", "fast", 4,
+                    Listed.READY, 0));
+        }
+        ControllerConfig c = ControllerConfig.read(Path.of("conf/controller.kdl"));
+        controller = new Controller(new ControllerConfig(c.site(), 0, 1, 0, ANY, c.tick(), c.helloWithin(),
+                c.silentAfter(), 250, 4096, roster.address(), c.service(), c.rosterWait(),
+                c.emptyHold(), c.probePath(), c.probeWithin(), c.probesAtOnce(), null, c.statsEvery()), loop, 1,
+                77, () -> net.now() / MS);
+        net.runFor(200 * MS);
+    }
+
+    private static Backend backend(int i) {
+        return new Backend((0x7f000001L << 16) + 9000 + i);
+    }
+
+    /** A proxy's end that does only what it is told, but answers pings. */
+    private final class Peer implements Handler {
+        final List<Frame> heard = new ArrayList<>();
+        final Connection connection;
+        private final FrameReader reader = new FrameReader(ChannelLimits.usual());
+        Close why;
+
+        Peer(Frame... frames) {
+            connection = loop.connect(null, controller.address(), Connection.Options.usual(), this);
+            for (Frame frame : frames) {
+                send(frame);
+            }
+        }
+
+        void send(Frame frame) {
+            connection.send(Codec.encode(frame));
+        }
+
+        @Override
+        public void received(Connection its, ByteBuffer bytes) {
+            try {
+                while (bytes.hasRemaining()) {
+                    Frame frame = reader.next(bytes);
+                    if (frame instanceof Frame.Ping ping) {
+                        send(new Frame.Pong(ping.token()));
+                    } else if (frame != null) {
+                        heard.add(frame);
+                    }
+                }
+            } catch (ChannelError e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        @Override
+        public void closed(Connection its, Close how, String detail) {
+            why = how;
+        }
+
+        <T extends Frame> List<T> heard(Class<T> kind) {
+            return heard.stream().filter(kind::isInstance).map(kind::cast).toList();
+        }
+
+        Frame.Reason goodbye() {
+            List<Frame.Goodbye> all = heard(Frame.Goodbye.class);
+            return all.isEmpty() ? null : all.get(0).reason();
+        }
+    }
+
+    private static Frame.Hello hello(int proxy, long incarnation) {
+        return new Frame.Hello(Frame.PROTOCOL, proxy, incarnation, 0, 10, true, 0, 0, "p" + proxy);
+    }
+
+    private Peer joined(int proxy) {
+        Peer peer = new Peer(hello(proxy, proxy));
+        net.runFor(500 * MS);
+        assertTrue(controller.driver().hasJoined(proxy));
+        return peer;
+    }
+
+    /** Whether a peer got a snapshot first, then updates numbered without gaps under one epoch. */
+    private static void assertInOrder(Peer peer) {
+        assertTrue(peer.heard.get(0) instanceof Frame.Snapshot);
+        long version = peer.heard(Frame.Snapshot.class).get(0).version();
+        for (Frame.Update update : peer.heard(Frame.Update.class)) {
+            assertEquals(++version, update.version());
+            assertEquals(77, update.epoch());
+        }
+    }
+
+    @Test
+    void aProxyJoinsWhileItsTablesChange() {
+        List<Peer> peers = new ArrayList<>();
+        for (int p = 0; p < 12; p++) {
+            peers.add(new Peer(hello(p, p)));
+            roster.put(roster.instance(backend(p % 6)).with(p % 2 == 0 ? Listed.DRAINING : Listed.READY));
+            net.runFor(20 * MS);
+        }
+        for (int i = 0; i < 6; i++) {
+            roster.put(roster.instance(backend(i)).with(Listed.READY));
+        }
+        net.runFor(5000 * MS);
+        peers.forEach(ControllerTest::assertInOrder);
+        assertTrue(peers.stream().allMatch(p -> p.heard(Frame.Update.class).stream().flatMap(u ->
+                u.orders().stream()).anyMatch(o -> o instanceof Frame.Bind)));
+        assertEquals(List.of(), faults);
+    }
+
+    @Test
+    void aStreamCutInMidFrameEndsThatStreamAlone() {
+        Peer good = joined(1);
+        Peer cut = joined(2);
+        ByteBuffer half = Codec.encode(new Frame.Report(List.of(), List.of(new Frame.Use(0, 5, 0, 100 * MS))));
+        half.limit(half.limit() - 3);
+        cut.connection.send(half);
+        net.runFor(10 * MS);
+        cut.connection.close(Close.LOCAL, "cut");
+        net.runFor(100 * MS);
+        assertFalse(controller.driver().hasJoined(2));
+        assertTrue(controller.driver().hasJoined(1));
+        assertEquals(null, good.why);
+    }
+
+    @Test
+    void aHelloFromAnUnknownVersionIsAnsweredWithTheVersionSpoken() {
+        Frame.Hello h = hello(3, 3);
+        Peer peer = new Peer(new Frame.Hello(2, h.proxy(), 1, 0, 1, true, 0, 0, "new"));
+        net.runFor(100 * MS);
+        assertEquals(Frame.Reason.VERSION, peer.goodbye());
+        assertFalse(controller.driver().hasJoined(3));
+    }
+
+    @Test
+    void aLengthOf4GiBEndsThatStreamAlone() {
+        Peer good = joined(1);
+        Peer bad = joined(2);
+        bad.connection.send(ByteBuffer.allocate(4).putInt(-1).flip());
+        net.runFor(100 * MS);
+        assertEquals(Frame.Reason.PROTOCOL, bad.goodbye());
+        assertFalse(controller.driver().hasJoined(2));
+        assertEquals(null, good.why);
+    }
+
+    @Test
+    void ofTwoProxiesThatClaimOneIdTheFirstStays() {
+        Peer first = joined(4);
+        Peer second = new Peer(hello(4, 999));
+        net.runFor(200 * MS);
+        assertEquals(Frame.Reason.ID_IN_USE, second.goodbye());
+        assertEquals(null, first.why);
+        first.connection.close(Close.LOCAL, "gone");
+        net.runFor(100 * MS);
+        Peer third = new Peer(hello(4, 999));
+        net.runFor(200 * MS);
+        assertEquals(null, third.goodbye());
+        assertTrue(controller.driver().hasJoined(4));
+    }
+
+    @Test
+    void theSameProxyOnANewStreamTakesTheOldOnesPlace() {
+        Peer first = joined(5);
+        Peer again = new Peer(hello(5, 5));
+        net.runFor(500 * MS);
+        assertEquals(Frame.Reason.MOVING, first.goodbye());
+        assertTrue(controller.driver().hasJoined(5));
+        assertInOrder(again);
+    }
+
+    @Test
+    void aReportForABackendNeverListedIsCountedAndLeftOut() {
+        Peer peer = joined(6);
+        peer.send(new Frame.Report(List.of(new Frame.Tally(new Backend(12345), 5, 0, 100, 1000, List.of()),
+                new Frame.Tally(backend(1), 5, 0, 100 * MS, 1000 * MS, List.of())),
+                List.of(new Frame.Use(9, 1, 0, 1), new Frame.Use(0, 5, 0, 1000 * MS))));
+        net.runFor(3000 * MS);
+        assertEquals(2, controller.driver().unlistedReports());
+        assertEquals(2, controller.driver().mostWaitingReports());
+        assertEquals(List.of(), faults);
+    }
+
+    @Test
+    void twoHundredStreamsOpenedAndLeftSilentAreEndedAndHoldUpNobody() {
+        List<Peer> silent = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            silent.add(new Peer());
+        }
+        net.runFor(100 * MS);
+        joined(7);
+        net.runFor(6000 * MS);
+        assertTrue(silent.stream().allMatch(p -> p.why != null), "a silent stream is still open");
+        assertTrue(controller.driver().hasJoined(7));
+    }
+
+    @Test
+    void aProxyThatReadsNothingIsLetGoAndTheOthersGoOn() {
+        Peer stuck = joined(8);
+        Peer good = joined(9);
+        stuck.connection.pause();
+        for (int round = 0; round < 40 && controller.driver().hasJoined(8); round++) {
+            roster.put(roster.instance(backend(round % 6)).with(round / 6 % 2 == 0 ? Listed.DRAINING
+                    : Listed.READY));
+            net.runFor(500 * MS);
+        }
+        assertFalse(controller.driver().hasJoined(8), "silent and unread, it still counts as joined");
+        assertTrue(controller.driver().hasJoined(9));
+        assertInOrder(good);
+    }
+
+    @Test
+    void aProxyThatAsksForASnapshotGetsAllThatIsOrderedForIt() {
+        Peer peer = joined(10);
+        net.runFor(2000 * MS);
+        peer.send(new Frame.Resync(77, 1));
+        net.runFor(1000 * MS);
+        List<Frame.Snapshot> snapshots = peer.heard(Frame.Snapshot.class);
+        assertEquals(2, snapshots.size());
+        Frame.Snapshot whole = snapshots.get(1);
+        assertEquals(3, whole.bindings().stream().mapToInt(Frame.Binding::classes).sum(), "both classes");
+        assertEquals(6, whole.tables().get(0).lines().size());
+    }
+
+    @Test
+    void aFrameThatAProxyMayNotSendEndsItsStream() {
+        Peer peer = joined(11);
+        peer.send(new Frame.Update(77, 1, 0, 0, List.of()));
+        net.runFor(100 * MS);
+        assertEquals(Frame.Reason.PROTOCOL, peer.goodbye());
+        Peer mute = new Peer(new Frame.Applied(1, 1, 1));
+        net.runFor(100 * MS);
+        assertEquals(Frame.Reason.PROTOCOL, mute.goodbye());
+    }
+}
--- /dev/null
+++ b/src/test/java/rowanmoor/proxy/RouterTest.java
@@ -0,0 +1,191 @@
+package rowanmoor.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Retry;
+import rowanmoor.channel.Frame;
+import rowanmoor.config.ConfigError;
+import rowanmoor.config.Site;
+
+/** What a proxy holds and picks; class 0 is safe to repeat, class 1 is not. */
+class RouterTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final Backend A = new Backend(1);
+    private static final Backend B = new Backend(2);
+    private static final Backend C = new Backend(3);
+    private Site site;
+    private Router router;
+
+    @BeforeEach
+    void make() throws ConfigError {
+        site = ProxyConfig.read(Path.of("conf/proxy.kdl")).site();
+        router = new Router(site, List.of(A, B), new SplittableRandom(1), 0);
+    }
+
+    private static Frame.Table table(int number, Frame.Level level, Backend... backends) {
+        return new Frame.Table(number, java.util.Arrays.stream(backends).map(b -> new Frame.Line(b, 1)).toList(),
+                level == null ? List.of() : List.of(level));
+    }
+
+    private static Frame.Snapshot keep(long epoch) {
+        return new Frame.Snapshot(epoch, 0, 0, 0, List.of(), List.of(), List.of(), List.of());
+    }
+
+    private Router.Heed update(long epoch, long version, Frame.Order... orders) {
+        return router.heed(new Frame.Update(epoch, version, 0, 0, List.of(orders)));
+    }
+
+    private Set<Backend> picks(int cls) {
+        Set<Backend> picks = new java.util.TreeSet<>();
+        for (int i = 0; i < 200; i++) {
+            Backend pick = router.pick(cls, Set.of(), SECOND);
+            if (pick != null) {
+                picks.add(pick);
+            }
+        }
+        return picks;
+    }
+
+    private void joined() {
+        router.streamBegins();
+        router.heed(keep(9));
+    }
+
+    @Test
+    void theStandingTableServesUntilAClassIsBound() {
+        assertTrue(router.fresh());
+        joined();
+        assertEquals(Set.of(A, B), picks(0));
+        assertEquals(Router.Heed.DONE, update(9, 1, new Frame.Bind(1, table(4, null, C), List.of())));
+        assertEquals(Set.of(C), picks(0));
+        assertEquals(Set.of(A, B), picks(1));
+        assertFalse(router.fresh());
+    }
+
+    @Test
+    void aGapMakesItAskForASnapshotAndHeedNothingBeforeIt() {
+        joined();
+        update(9, 1, new Frame.Bind(0, table(4, null, C), List.of()));
+        assertEquals(Router.Heed.GAP, update(9, 3, new Frame.Clear(4)));
+        assertEquals(Router.Heed.SKIPPED, update(9, 4, new Frame.Clear(4)));
+        assertEquals(Set.of(C), picks(0));
+        router.heed(new Frame.Snapshot(9, 7, 0, 0, List.of(table(4, null, A, B)),
+                List.of(new Frame.Binding(4, 3)), List.of(B), List.of()));
+        assertEquals(Set.of(A), picks(1));
+        assertEquals(Router.Heed.GAP, update(8, 8));
+    }
+
+    @Test
+    void whatItHoldsOutlivesItsStreamAndTheNextControllersNumbersDoNotMixWithIt() {
+        joined();
+        update(9, 1, new Frame.Bind(0, table(0, null, A), List.of()));
+        router.streamBegins();
+        router.heed(keep(10));
+        assertEquals(Set.of(A), picks(0));
+        update(10, 1, new Frame.Bind(2, table(0, null, C), List.of()));
+        assertEquals(Set.of(A), picks(0), "class 0 still has the table of the stream before");
+        assertEquals(Set.of(C), picks(1));
+    }
+
+    @Test
+    void withdrawalsHoldForEveryTableAndEndWithTheFirstBindOfAnotherStream() {
+        joined();
+        update(9, 1, new Frame.Withdraw(A, true));
+        assertEquals(Set.of(B), picks(0));
+        router.streamBegins();
+        router.heed(keep(10));
+        assertEquals(Set.of(B), picks(0));
+        update(10, 1, new Frame.Bind(1, table(0, null, A, C), List.of(C)));
+        assertEquals(Set.of(A), picks(0));
+        assertEquals(Set.of(A, B), picks(1));
+    }
+
+    @Test
+    void anEmptiedTableLeavesNothingToPick() {
+        joined();
+        update(9, 1, new Frame.Bind(0, table(0, null, A), List.of()),
+                new Frame.SetLine(0, new Frame.Line(A, 0)));
+        assertNull(router.pick(0, Set.of(), SECOND));
+    }
+
+    @Test
+    void aLevelLetsInItsRateAndZeroNothing() {
+        joined();
+        update(9, 1, new Frame.Bind(0, table(0, new Frame.Level(3, 10, Retry.NEVER), A), List.of()));
+        int in = 0;
+        for (long now = 0; now < 10 * SECOND; now += SECOND / 100) {
+            in += router.admits(0, now) ? 1 : 0;
+        }
+        assertTrue(in >= 99 && in <= 103, in + " of about 100");
+        update(9, 2, new Frame.Admit(0, new Frame.Level(1, 0, Retry.NEVER)));
+        assertFalse(router.admits(0, 100 * SECOND) && router.admits(0, 100 * SECOND));
+    }
+
+    @Test
+    void anotherTryFollowsOnlyAsOrderedAndForWhatIsUnsafeOnlyWithProof() {
+        long left = site.classes().get(0).deadline();
+        assertTrue(router.mayFollow(1, 1, true, left), "usual: once, with proof");
+        assertFalse(router.mayFollow(1, 1, false, left));
+        assertFalse(router.mayFollow(1, 2, true, left));
+        assertFalse(router.mayFollow(1, 1, true, left / 20), "too little time is left");
+        joined();
+        update(9, 1, new Frame.Bind(0, table(0, new Frame.Level(3, 1e6, Retry.TWICE), A, B), List.of()));
+        assertTrue(router.mayFollow(0, 2, false, left));
+        assertFalse(router.mayFollow(1, 1, false, left), "unsafe, whatever is ordered");
+        assertTrue(router.tryWithin(0) > 0);
+        assertEquals(0, router.tryWithin(1));
+        update(9, 2, new Frame.Admit(0, new Frame.Level(3, 1e6, Retry.NEVER)));
+        assertFalse(router.mayFollow(0, 1, true, left));
+    }
+
+    @Test
+    void aBackendThatFailsInARowIsShunnedWhileThereAreOthers() {
+        for (int i = 0; i < site.ejects(); i++) {
+            router.sent(A);
+            router.done(A, false, SECOND);
+        }
+        assertEquals(Set.of(B), picks(0));
+        assertEquals(A, router.pick(0, Set.of(B), SECOND), "better a shunned one than none");
+        assertTrue(router.pick(0, Set.of(B), SECOND + site.ejectFor()) == A);
+    }
+
+    @Test
+    void ofTwoDrawnTheOneWithLessOutIsTaken() {
+        router.sent(A);
+        router.sent(A);
+        int b = 0;
+        for (int i = 0; i < 1000; i++) {
+            b += router.pick(0, Set.of(), SECOND) == B ? 1 : 0;
+        }
+        assertTrue(b > 680 && b < 820, b + " of about 750");
+    }
+
+    @Test
+    void callsAreJitteredGrowAndTakeControllersInTurn() {
+        Redial redial = new Redial(2, 1, SECOND, new SplittableRandom(1));
+        assertEquals(1, redial.controller());
+        long first = redial.failed(true);
+        assertEquals(1, redial.controller(), "one whose stream was up is called again first");
+        assertTrue(first >= SECOND / 2 && first <= SECOND * 3 / 2);
+        redial.failed(false);
+        assertEquals(0, redial.controller());
+        long last = 0;
+        for (int i = 0; i < 20; i++) {
+            last = redial.failed(false);
+        }
+        assertTrue(last >= 8 * SECOND && last <= 24 * SECOND, last + " ns");
+        redial.up();
+        assertTrue(redial.failed(true) <= SECOND * 3 / 2);
+    }
+}
