--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -1,5 +1,6 @@
 package rowanmoor.cli;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -7,7 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -28,6 +30,7 @@
 import rowanmoor.proxy.Proxy;
 import rowanmoor.proxy.ProxyConfig;
 import rowanmoor.proxy.Tap;
+import rowanmoor.proxy.TapFile;
 
 /** The command line's sub-commands. Exit codes: 0 well, 1 it failed, 2 the arguments are wrong. */
 @Command(name = "rowanmoor", mixinStandardHelpOptions = true, version = "rowanmoor 0.2.0-SNAPSHOT",
@@ -111,27 +114,28 @@
         long epoch = System.currentTimeMillis() << 20 | new SplittableRandom().nextInt(1 << 20);
         Controller controller = new Controller(config, loop, seed == null ? epoch : seed, epoch,
                 System::currentTimeMillis);
-        runUntilStopped(loop, () -> {
-            controller.stop();
-            return null;
-        });
+        runUntilStopped(loop, controller::stop, controller::closeTrace);
         return 0;
     }
 
-    @Command(name = "proxy", description = "Runs a proxy until it is stopped.")
+    @Command(name = "proxy", description = "Runs a file's proxies, on one loop, until they are stopped.")
     int proxy(@Option(names = "--config", required = true, paramLabel = "FILE") Path file,
-            @Option(names = "--seed", description = "seeds its choices; drawn if left out") Long seed)
-            throws ConfigError, IOException {
-        ProxyConfig config = ProxyConfig.read(file);
+            @Option(names = "--seed", description = "seeds their choices; drawn if left out") Long seed,
+            @Option(names = "--tap", paramLabel = "FILE",
+                    description = "keeps what is read of the channel") Path
+                    taps) throws ConfigError, IOException {
+        List<ProxyConfig> configs = ProxyConfig.read(file);
         Loop loop = Loop.onSockets(Commands::onFault);
-        Proxy proxy = Proxy.start(config, loop,
-                seed == null ? new SplittableRandom() : new SplittableRandom(seed), Tap.NONE);
-        out().println("proxy " + config.number() + " listens on " + proxy.address());
+        SplittableRandom random = seed == null ? new SplittableRandom() : new SplittableRandom(seed);
+        TapFile tap = taps == null ? null : new TapFile(taps);
+        List<Proxy> proxies = new ArrayList<>();
+        for (ProxyConfig config : configs) {
+            Proxy proxy = Proxy.start(config, loop, random.split(), tap == null ? Tap.NONE : tap);
+            proxies.add(proxy);
+            out().println("proxy " + config.number() + " listens on " + proxy.address());
+        }
         out().flush();
-        runUntilStopped(loop, () -> {
-            proxy.stop();
-            return null;
-        });
+        runUntilStopped(loop, () -> proxies.forEach(Proxy::stop), tap == null ? () -> { } : tap);
         return 0;
     }
 
@@ -139,25 +143,26 @@
         org.slf4j.LoggerFactory.getLogger(Loop.class).error("a handler threw", cause);
     }
 
-    /** Runs a loop on this thread; when the process is asked to end, what stops it has half a second. */
-    private static void runUntilStopped(Loop loop, Callable<Void> stop) {
-        Thread main = Thread.currentThread();
+    /**
+     * Runs a loop on this thread. When the process is asked to end, what stops it has a fifth of a
+     * second, then the loop ends and the last things are done.
+     */
+    private static void runUntilStopped(Loop loop, Runnable stop, Closeable last) throws IOException {
+        CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             loop.post(() -> {
-                try {
-                    stop.call();
-                } catch (Exception e) {
-                    onFault(e);
-                }
+                stop.run();
                 loop.after(200_000_000L, loop::stop);
             });
             try {
-                main.join(500);
+                ended.await(3, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
         }));
         loop.run();
+        last.close();
+        ended.countDown();
     }
 
     @Command(name = "day",
--- a/src/main/java/rowanmoor/controller/Controller.java
+++ b/src/main/java/rowanmoor/controller/Controller.java
@@ -76,7 +76,8 @@
         driver.hearList(roster.view().atStart());
         tickSoon();
         stats();
-        LOG.info("listening {} {}", kv("at", address()), kv("epoch", epoch));
+        LOG.info("listening {} {}", kv("at", address().getAddress().getHostAddress() + ":"
+                + address().getPort()), kv("epoch", epoch));
     }
 
     private Connection.Options options() {
@@ -253,10 +254,14 @@
                 ? system.getProcessCpuTime() / 1_000_000 : -1;
     }
 
-    /** Says goodbye to every proxy and closes the trace; the loop may then be stopped. */
-    public void stop() throws IOException {
+    /** Says goodbye to every proxy and takes no more; its loop may then be stopped. */
+    public void stop() {
         listener.close();
         List.copyOf(streams.values()).forEach(s -> s.end(Frame.Reason.STOPPING, "the controller stops"));
+    }
+
+    /** Ends the trace; once the loop has ended. */
+    public void closeTrace() throws IOException {
         if (trace != null) {
             trace.close();
         }
--- a/src/main/java/rowanmoor/lab/ControllerProcesses.java
+++ b/src/main/java/rowanmoor/lab/ControllerProcesses.java
@@ -2,19 +2,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.BufferedReader;
-import java.io.BufferedWriter;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import rowanmoor.config.Section;
 
 /**
@@ -28,9 +25,9 @@
     private final DayFile day;
     private final Path dayFile;
     private final Path directory;
-    private final Map<Integer, Process> running = new ConcurrentHashMap<>();
-    private final List<Thread> readers = new ArrayList<>();
-    private final List<JsonNode> stats = java.util.Collections.synchronizedList(new ArrayList<>());
+    private final Map<Integer, Child> running = new ConcurrentHashMap<>();
+    private final List<Child> all = Collections.synchronizedList(new ArrayList<>());
+    private final List<JsonNode> stats = Collections.synchronizedList(new ArrayList<>());
     private int starts;
 
     /** @param directory where their settings, traces and logs are put */
@@ -60,44 +57,33 @@
                 """.formatted(quoted(dayFile.toAbsolutePath()), rank, day.controllerZones().size(), zone,
                 quoted(directory.resolve(name + ".trace").toAbsolutePath()), roster.getHostString(),
                 roster.getPort(), day.rosterWait() / 1_000_000, day.emptyHold() / 1_000_000));
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        Process process = new ProcessBuilder(java, "-Xmx1g", "-cp", System.getProperty("java.class.path"),
-                "rowanmoor.cli.Main", "controller", "--config", config.toString(), "--seed",
-                Long.toString(day.seed() * 31 + start)).redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                        .start();
-        running.put(rank, process);
-        Thread reader = new Thread(() -> read(rank, process, directory.resolve(name + ".log"), up), name);
-        reader.setDaemon(true);
-        readers.add(reader);
-        reader.start();
+        Child child = Child.start(name, "1g", directory.resolve(name + ".log"), line -> hear(rank, line, up),
+                "controller", "--config", config.toString(), "--seed",
+                        Long.toString(day.seed() * 31 + start));
+        running.put(rank, child);
+        all.add(child);
     }
 
-    private static String quoted(Path path) {
+    static String quoted(Path path) {
         return path.toString().replace("\\", "\\\\").replace("\"", "\\\"");
     }
 
-    private void read(int rank, Process process, Path log, Up up) {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getErrorStream(),
-                StandardCharsets.UTF_8)); BufferedWriter out = Files.newBufferedWriter(log)) {
-            for (String line = in.readLine(); line != null; line = in.readLine()) {
-                out.write(line);
-                out.write('\n');
-                if (line.startsWith("{")) {
-                    hear(rank, JSON.readTree(line), up);
-                }
-            }
+    private void hear(int rank, String text, Up up) {
+        if (!text.startsWith("{")) {
+            return;
+        }
+        JsonNode line;
+        try {
+            line = JSON.readTree(text);
         } catch (IOException e) {
-            // its process has ended; what it said before is kept
+            return; // cut off by the end of its process
         }
-    }
-
-    private void hear(int rank, JsonNode line, Up up) {
         if (line.has("at") && line.has("epoch")) {
-            // Logged as "/127.0.0.1:40001".
             String at = line.get("at").asText();
-            up.up(rank, Section.parseAddress(at.substring(at.indexOf('/') + 1)), line.get("epoch").asLong());
+            InetSocketAddress address = Section.parseAddress(at.replace("localhost", "127.0.0.1"));
+            up.up(rank, address, line.get("epoch").asLong());
         } else if (line.has("decideP99us")) {
-            ((com.fasterxml.jackson.databind.node.ObjectNode) line).put("rank", rank);
+            ((ObjectNode) line).put("rank", rank);
             stats.add(line);
         }
     }
@@ -109,37 +95,25 @@
 
     @Override
     public void kill(int rank) {
-        Process process = running.remove(rank);
-        if (process != null) {
-            process.destroyForcibly();
+        Child child = running.remove(rank);
+        if (child != null) {
+            child.kill();
         }
     }
 
     @Override
     public void stall(int rank, boolean on) throws IOException {
-        Process process = running.get(rank);
-        if (process != null && process.isAlive()) {
-            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start();
+        Child child = running.get(rank);
+        if (child != null) {
+            child.stall(on);
         }
     }
 
     @Override
     public void close() {
-        List<Process> all = List.copyOf(running.values());
+        running.values().forEach(Child::end);
         running.clear();
-        all.forEach(Process::destroy);
-        try {
-            for (Process process : all) {
-                if (!process.waitFor(5, TimeUnit.SECONDS)) {
-                    process.destroyForcibly();
-                }
-            }
-            for (Thread reader : readers) {
-                reader.join(5000);
-            }
-        } catch (InterruptedException e) {
-            all.forEach(Process::destroyForcibly);
-            Thread.currentThread().interrupt();
-        }
+        all.forEach(Child::awaitEnd);
+        all.clear();
     }
 }
--- a/src/main/java/rowanmoor/lab/Ground.java
+++ b/src/main/java/rowanmoor/lab/Ground.java
@@ -15,17 +15,13 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.stream.IntStream;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Listed;
-import rowanmoor.config.Site;
 import rowanmoor.discovery.Addresses;
 import rowanmoor.net.Loop;
-import rowanmoor.proxy.Proxy;
 import rowanmoor.proxy.ProxyConfig;
-import rowanmoor.proxy.Router;
 import rowanmoor.standin.BackendServer;
 import rowanmoor.standin.Clients;
 import rowanmoor.standin.Ledger;
@@ -46,18 +42,16 @@
     private final DayFile day;
     private final Loop stage;
     private final Loop clientLoop;
-    private final List<Loop> proxyLoops;
+    private final ProxyHost proxyHost;
     private final Controllers controllers;
     private final LongSupplier wall;
-    private final Function<RouterParts, Router> routers;
     private final Ledger ledger = new Ledger();
     private final List<BackendServer> backends = new ArrayList<>();
     private final Map<Backend, Evidence.Place> places = new TreeMap<>();
     private final List<List<Link>> links = new ArrayList<>();
-    private final List<Proxy> proxies = new ArrayList<>();
+    private final List<InetSocketAddress> proxyAddresses;
     private final List<Integer> proxyZones = new ArrayList<>();
     private final List<List<Backend>> standing = new ArrayList<>();
-    private final List<Evidence.Recorder> recorders = new ArrayList<>();
     private final Map<Long, Integer> ranks = new ConcurrentHashMap<>();
     private final long[] proxyWeightsMilli;
     private final long start;
@@ -65,24 +59,20 @@
     private Clients clients;
     private final SplittableRandom troubleRandom;
 
-    /** What a router is made of. */
-    record RouterParts(Site site, List<Backend> standing, SplittableRandom random, long now) { }
-
     /** @param wall milliseconds since 1970, by which the roster states starts */
-    Ground(DayFile day, Loop stage, Loop clientLoop, List<Loop> proxyLoops, Controllers controllers,
-            LongSupplier wall, Function<RouterParts, Router> routers) throws IOException {
+    Ground(DayFile day, Loop stage, Loop clientLoop, ProxyHost proxyHost, Controllers controllers,
+            LongSupplier wall) throws IOException {
         this.day = day;
         this.stage = stage;
         this.clientLoop = clientLoop;
-        this.proxyLoops = proxyLoops;
+        this.proxyHost = proxyHost;
         this.controllers = controllers;
         this.wall = wall;
-        this.routers = routers;
-        this.start = stage.now() + day.settle();
         this.troubleRandom = random(1);
         this.proxyWeightsMilli = proxyWeights();
         buildBackends();
-        buildProxies();
+        this.proxyAddresses = buildProxies();
+        this.start = stage.now() + day.settle();
         for (int rank = 0; rank < day.controllerZones().size(); rank++) {
             startController(rank);
         }
@@ -112,7 +102,7 @@
                 backends.add(server);
                 places.put(server.backend(), new Evidence.Place(zone, group.kind()));
                 roster.put(new RosterServer.Instance(server.backend(), day.site().zones().get(zone),
-                        day.site().kinds().get(group.kind()), group.weight(), Listed.READY, 0));
+                        day.site().kinds().get(group.kind()), group.weight(), Listed.READY, 0, 0));
             }
         }
     }
@@ -123,8 +113,9 @@
                 day.proxySkew() * random.nextGaussian())))).toArray();
     }
 
-    private void buildProxies() throws IOException {
+    private List<InetSocketAddress> buildProxies() throws IOException {
         SplittableRandom random = random(4);
+        List<ProxyConfig> configs = new ArrayList<>();
         double sum = java.util.Arrays.stream(proxyWeightsMilli).sum();
         int zones = day.site().zones().size();
         for (int p = 0; p < day.proxies(); p++) {
@@ -137,17 +128,12 @@
             List<Backend> first = standingTable(zone, random);
             standing.add(first);
             proxyZones.add(zone);
-            Evidence.Recorder recorder = new Evidence.Recorder();
-            recorders.add(recorder);
-            ProxyConfig config = new ProxyConfig(day.site(), p, "proxy-" + p, zone,
+            configs.add(new ProxyConfig(day.site(), p, "proxy-" + p, zone,
                     day.rate() * proxyWeightsMilli[p] / sum, anyPort(), zoneAddress(zone, p),
                     its.stream().map(Link::address).toList(), p / zones % its.size(), 300 * MILLI, 3 * SECOND,
-                    first.stream().map(Addresses::socket).toList(), 15 * SECOND, 250 * MILLI, 4096, 1 << 20);
-            Loop loop = proxyLoops.get(p % proxyLoops.size());
-            Router router = routers.apply(new RouterParts(day.site(), first, random.split(),
-                    loop.now()));
-            proxies.add(new Proxy(config, loop, router, random.split(), recorder));
+                    first.stream().map(Addresses::socket).toList(), 15 * SECOND, 250 * MILLI, 4096, 1 << 20));
         }
+        return proxyHost.start(configs, standing, random.nextLong());
     }
 
     private List<Backend> standingTable(int zone, SplittableRandom random) {
@@ -176,7 +162,7 @@
         double[] weights = java.util.Arrays.stream(proxyWeightsMilli).asDoubleStream().toArray();
         List<Clients.Arrival> arrivals = Clients.draw(random(5), day.length(), day.rateAt(), day.shares(),
                 day.work(), weights);
-        clients = new Clients(clientLoop, day.site(), proxies.stream().map(Proxy::address).toList(), arrivals,
+        clients = new Clients(clientLoop, day.site(), proxyAddresses, arrivals,
                 day.habits(), start);
     }
 
@@ -301,8 +287,8 @@
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
-                long started = wall.getAsLong();
-                stage.after(day.notice(), () -> roster.put(listed.startedAt(started)));
+                RosterServer.Instance anew = listed.started(wall.getAsLong(), stage.now());
+                stage.after(day.notice(), () -> roster.put(anew));
             });
         }
     }
@@ -368,14 +354,9 @@
         return clients;
     }
 
-    int joinedProxies() {
-        return (int) proxies.stream().filter(Proxy::joined).count();
-    }
-
     /** What was seen; once the loops have ended. */
-    Evidence evidence(long end) {
-        List<Evidence.Tapped> taps = new ArrayList<>();
-        recorders.forEach(r -> taps.addAll(r.seen()));
+    Evidence evidence(long end) throws IOException {
+        List<Evidence.Tapped> taps = new ArrayList<>(proxyHost.taps());
         taps.sort(Comparator.comparingLong(Evidence.Tapped::at));
         return new Evidence(day.site(), start, end, places, standing, taps, new HashMap<>(ranks), ledger,
                 roster.answers());
--- a/src/main/java/rowanmoor/lab/Judge.java
+++ b/src/main/java/rowanmoor/lab/Judge.java
@@ -206,7 +206,7 @@
             Evidence.Place place = evidence.backends().get(i.backend());
             boolean open = (spec.onlyZones().isEmpty() || spec.onlyZones().contains(place.zone()))
                     && (spec.onlyKinds().isEmpty() || spec.onlyKinds().contains(place.kind()));
-            return i.listed() == Listed.READY && open && i.started() == 0;
+            return i.listed() == Listed.READY && open && time - i.startedAt() >= rules.coldFor();
         });
     }
 
--- a/src/main/java/rowanmoor/lab/Player.java
+++ b/src/main/java/rowanmoor/lab/Player.java
@@ -19,11 +19,10 @@
     private static final long SECOND = 1000 * MILLI;
     private static final long AFTERWARDS = 2 * SECOND;
     private static final long SIMULATED_START = 1_000_000 * SECOND;
-    private static final int PROXIES_A_LOOP = 64;
 
     private Player() { }
 
-    private static Router router(Ground.RouterParts parts) {
+    private static Router router(ProxyLoops.RouterParts parts) {
         return new Router(parts.site(), parts.standing(), parts.random(), parts.now());
     }
 
@@ -33,7 +32,7 @@
      * @param controllersDay the day by which controllers are set up
      * @param between what stands between controllers and proxies
      */
-    record Mutant(DayFile controllersDay, Function<Ground.RouterParts, Router> routers,
+    record Mutant(DayFile controllersDay, Function<ProxyLoops.RouterParts, Router> routers,
             BiFunction<Loop, Controllers, Controllers> between) {
 
         static Mutant none(DayFile day) {
@@ -52,8 +51,8 @@
         Loop stage = net.loop(e -> faults.add(e.toString()));
         Controllers controllers = mutant.between().apply(stage, new ControllerLoops(net,
                 mutant.controllersDay(), e -> faults.add(e.toString())));
-        Ground ground = new Ground(day, stage, stage, List.of(stage), controllers, () -> net.now() / MILLI,
-                mutant.routers());
+        Ground ground = new Ground(day, stage, stage, new ProxyLoops(stage, mutant.routers()), controllers,
+                () -> net.now() / MILLI);
         long end = ground.start() + day.length();
         net.runUntil(end, () -> false);
         net.runUntil(end + 60 * SECOND, ground::done);
@@ -68,17 +67,12 @@
         List<String> faults = Collections.synchronizedList(new ArrayList<>());
         Loop stage = Loop.onSockets(e -> faults.add(e.toString()));
         Loop clientLoop = Loop.onSockets(e -> faults.add(e.toString()));
-        List<Loop> proxyLoops = new ArrayList<>();
-        for (int p = 0; p < day.proxies(); p += PROXIES_A_LOOP) {
-            proxyLoops.add(Loop.onSockets(e -> faults.add(e.toString())));
-        }
+        ProxyProcesses proxies = new ProxyProcesses(file, directory);
         ControllerProcesses controllers = new ControllerProcesses(day, file, directory);
         try {
-            Ground ground = new Ground(day, stage, clientLoop, proxyLoops, controllers,
-                    System::currentTimeMillis, Player::router);
-            List<Loop> loops = new ArrayList<>(proxyLoops);
-            loops.add(stage);
-            loops.add(clientLoop);
+            Ground ground = new Ground(day, stage, clientLoop, proxies, controllers,
+                    System::currentTimeMillis);
+            List<Loop> loops = List.of(stage, clientLoop);
             List<Thread> threads = new ArrayList<>();
             for (Loop loop : loops) {
                 Thread thread = new Thread(loop, "loop-" + threads.size());
@@ -87,6 +81,7 @@
             }
             awaitEnd(day, ground, clientLoop);
             long end = stage.now();
+            proxies.close();
             loops.forEach(Loop::stop);
             for (Thread thread : threads) {
                 thread.join();
@@ -94,6 +89,7 @@
             controllers.close();
             return played(day, ground, end, controllers.stats(), faults);
         } finally {
+            proxies.close();
             controllers.close();
         }
     }
@@ -109,7 +105,7 @@
     }
 
     private static Played played(DayFile day, Ground ground, long end,
-            List<com.fasterxml.jackson.databind.JsonNode> stats, List<String> faults) {
+            List<com.fasterxml.jackson.databind.JsonNode> stats, List<String> faults) throws IOException {
         Evidence evidence = ground.evidence(end);
         Judge judge = new Judge(evidence);
         return new Played(day, evidence, judge.verdicts(), ground.clients().met(),
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/ProxyProcesses.java
@@ -0,0 +1,118 @@
+package rowanmoor.lab;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.config.Section;
+import rowanmoor.proxy.ProxyConfig;
+import rowanmoor.proxy.TapFile;
+
+/** Proxies in processes of their own, so many to a process; each process keeps its taps in a file. */
+final class ProxyProcesses implements ProxyHost {
+
+    private static final Pattern LISTENS = Pattern.compile("proxy ([0-9]+) listens on [^/]*/(\\S+)");
+    private static final int TO_A_PROCESS = 48;
+    private static final long START_SECONDS = 60;
+
+    private final Path dayFile;
+    private final Path directory;
+    private final List<Child> children = new ArrayList<>();
+    private final List<Path> tapFiles = new ArrayList<>();
+
+    ProxyProcesses(Path dayFile, Path directory) {
+        this.dayFile = dayFile;
+        this.directory = directory;
+    }
+
+    @Override
+    public List<InetSocketAddress> start(List<ProxyConfig> configs, List<List<Backend>> standing, long seed)
+            throws IOException {
+        Map<Integer, InetSocketAddress> listening = new ConcurrentHashMap<>();
+        CountDownLatch all = new CountDownLatch(configs.size());
+        for (int from = 0; from < configs.size(); from += TO_A_PROCESS) {
+            List<ProxyConfig> its = configs.subList(from, Math.min(configs.size(), from + TO_A_PROCESS));
+            String name = "proxies-" + from;
+            Path config = directory.resolve(name + ".kdl");
+            Path taps = directory.resolve(name + ".taps");
+            Files.writeString(config, "site-from \"" + ControllerProcesses.quoted(dayFile.toAbsolutePath())
+                    + "\"\n" + its.stream().map(ProxyProcesses::block).collect(Collectors.joining()));
+            tapFiles.add(taps);
+            children.add(Child.start(name, "1g", directory.resolve(name + ".log"), line -> {
+                Matcher matcher = LISTENS.matcher(line);
+                if (matcher.matches()) {
+                    listening.put(Integer.parseInt(matcher.group(1)), Section.parseAddress(matcher.group(2)));
+                    all.countDown();
+                }
+            }, "proxy", "--config", config.toString(), "--tap", taps.toString(), "--seed",
+                    Long.toString(seed + from)));
+        }
+        await(all);
+        return configs.stream().map(c -> listening.get(c.number())).toList();
+    }
+
+    private void await(CountDownLatch all) throws IOException {
+        try {
+            if (!all.await(START_SECONDS, TimeUnit.SECONDS)) {
+                close();
+                throw new IOException("proxies did not start; see " + directory);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private static String block(ProxyConfig c) {
+        return """
+                proxy {
+                    number %d
+                    name "%s"
+                    zone "%s"
+                    rate "%.3f/s"
+                    listen "127.0.0.1:0"
+                    from %s
+                    controllers %s
+                    first-controller %d
+                    standing %s
+                }
+                """.formatted(c.number(), c.name(), c.site().zones().get(c.zone()), c.rate(), text(c.from()),
+                texts(c.controllers()), c.firstController(), texts(c.standing()));
+    }
+
+    private static String text(InetSocketAddress at) {
+        return "\"" + at.getAddress().getHostAddress() + ":" + at.getPort() + "\"";
+    }
+
+    private static String texts(List<InetSocketAddress> all) {
+        return all.stream().map(ProxyProcesses::text).collect(Collectors.joining(" "));
+    }
+
+    @Override
+    public void close() {
+        children.forEach(Child::end);
+        children.forEach(Child::awaitEnd);
+        children.clear();
+    }
+
+    @Override
+    public List<Evidence.Tapped> taps() throws IOException {
+        Evidence.Recorder recorder = new Evidence.Recorder();
+        for (Path file : tapFiles) {
+            if (!TapFile.read(file, recorder)) {
+                throw new IOException(file + ": its last record is cut off");
+            }
+        }
+        return recorder.seen();
+    }
+}
--- a/src/main/java/rowanmoor/proxy/ProxyConfig.java
+++ b/src/main/java/rowanmoor/proxy/ProxyConfig.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import rowanmoor.config.ConfigError;
 import rowanmoor.config.Section;
@@ -25,10 +26,26 @@
         long silentAfter, List<InetSocketAddress> standing, long idleFor, long connectWithin,
         int connectionsMost, int bodyMost) {
 
-    public static ProxyConfig read(Path file) throws ConfigError {
+    /** All {@code proxy} blocks of a file; one process may run several. */
+    public static List<ProxyConfig> read(Path file) throws ConfigError {
         Section root = Section.read(file);
         Site site = Site.of(root);
-        Section p = root.section("proxy");
+        List<ProxyConfig> all = new ArrayList<>();
+        for (Section p : root.sections("proxy")) {
+            all.add(read(p, site));
+        }
+        if (all.isEmpty()) {
+            root.problem("proxy", "is missing");
+        }
+        if (all.stream().map(ProxyConfig::number).distinct().count() < all.size()) {
+            root.problem("proxy", "a number stands twice");
+        }
+        root.finish();
+        root.check();
+        return all;
+    }
+
+    private static ProxyConfig read(Section p, Site site) {
         String zone = p.text("zone");
         if (!site.zones().contains(zone)) {
             p.problem("zone", "is not a zone of the site: " + zone);
@@ -43,8 +60,6 @@
                 p.duration("connect-within", "1ms", "60s", "250ms"),
                 p.whole("connections-most", 1, 1 << 20, 4096), p.whole("body-most", 1, 1 << 30, 1 << 20));
         p.finish();
-        root.finish();
-        root.check();
         return config;
     }
 }
--- a/src/main/java/rowanmoor/standin/BackendServer.java
+++ b/src/main/java/rowanmoor/standin/BackendServer.java
@@ -71,11 +71,19 @@
 
     private void listen() throws IOException {
         listener = loop.listen(at, Connection.Options.usual(), connection -> {
-            if (connections.size() >= connectionsMost || cut.test(connection.remote())) {
+            if (connections.size() >= connectionsMost) {
                 return null;
             }
             connections.add(connection);
             return new ServerConnection(Limits.usual(), this) {
+                @Override
+                public void opened(Connection its) {
+                    super.opened(its);
+                    if (cut.test(its.remote())) {
+                        its.pause(); // made by the system, and silent
+                    }
+                }
+
                 @Override
                 public void closed(Connection its, Close why, String detail) {
                     connections.remove(its);
--- a/src/main/java/rowanmoor/standin/RosterServer.java
+++ b/src/main/java/rowanmoor/standin/RosterServer.java
@@ -22,16 +22,21 @@
 /** The part of Consul's HTTP API that controllers use: one service's health, with blocking queries. */
 public final class RosterServer implements ServerConnection.Service {
 
-    /** One instance as listed. {@code started} is milliseconds since 1970, 0 for long ago. */
+    /**
+     * One instance as listed.
+     *
+     * @param started milliseconds since 1970, 0 for long ago
+     * @param startedAt the same by the roster's loop; not told to anyone
+     */
     public record Instance(Backend backend, String zone, String kind, double weight, Listed listed,
-            long started) {
+            long started, long startedAt) {
 
         public Instance with(Listed other) {
-            return new Instance(backend, zone, kind, weight, other, started);
+            return new Instance(backend, zone, kind, weight, other, started, startedAt);
         }
 
-        public Instance startedAt(long wall) {
-            return new Instance(backend, zone, kind, weight, Listed.READY, wall);
+        public Instance started(long wall, long at) {
+            return new Instance(backend, zone, kind, weight, Listed.READY, wall, at);
         }
     }
 
--- a/src/test/java/rowanmoor/controller/ControllerTest.java
+++ b/src/test/java/rowanmoor/controller/ControllerTest.java
@@ -45,7 +45,7 @@
         roster = new RosterServer(loop, ANY, "backends");
         for (int i = 0; i < 6; i++) {
             roster.put(new RosterServer.Instance(backend(i), i % 2 == 0 ? "north" : "south", "fast", 4,
-                    Listed.READY, 0));
+                    Listed.READY, 0, 0));
         }
         ControllerConfig c = ControllerConfig.read(Path.of("conf/controller.kdl"));
         controller = new Controller(new ControllerConfig(c.site(), 0, 1, 0, ANY, c.tick(), c.helloWithin(),
--- a/src/test/java/rowanmoor/proxy/RouterTest.java
+++ b/src/test/java/rowanmoor/proxy/RouterTest.java
@@ -29,7 +29,7 @@
 
     @BeforeEach
     void make() throws ConfigError {
-        site = ProxyConfig.read(Path.of("conf/proxy.kdl")).site();
+        site = ProxyConfig.read(Path.of("conf/proxy.kdl")).get(0).site();
         router = new Router(site, List.of(A, B), new SplittableRandom(1), 0);
     }
 
