--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -22,7 +22,9 @@
 import rowanmoor.config.Site;
 import rowanmoor.controller.Controller;
 import rowanmoor.controller.Trace;
+import rowanmoor.lab.BenchDay;
 import rowanmoor.lab.DayFile;
+import rowanmoor.lab.Fuzz;
 import rowanmoor.lab.Played;
 import rowanmoor.lab.Player;
 import rowanmoor.lab.Report;
@@ -50,12 +52,22 @@
     }
 
     static CommandLine commandLine() {
-        return new CommandLine(new Commands()).setExecutionExceptionHandler((e, line, parsed) -> {
+        return new CommandLine(new Commands()).registerConverter(Fuzz.Target.class,
+                Commands::target).setExecutionExceptionHandler((e, line, parsed) -> {
             line.getErr().println("rowanmoor: " + (e instanceof ConfigError ? e.getMessage() : e.toString()));
             return 1;
         });
     }
 
+    private static Fuzz.Target target(String word) {
+        for (Fuzz.Target target : Fuzz.Target.values()) {
+            if (target.toString().equals(word)) {
+                return target;
+            }
+        }
+        throw new CommandLine.TypeConversionException("there are " + List.of(Fuzz.Target.values()));
+    }
+
     private PrintWriter out() {
         return spec.commandLine().getOut();
     }
@@ -167,7 +179,13 @@
 
     @Command(name = "day",
             description = "Plays a day on stand-ins and judges it by what crossed the sockets.")
-    int day(@Parameters(paramLabel = "FILE") Path file,
+    int day(@Parameters(paramLabel = "FILE", arity = "0..1") Path file,
+            @Option(names = "--from-bench", paramLabel = "DAY.json",
+                    description = "plays a day drawn by the bench")
+                    Path bench,
+            @Option(names = "--scale", defaultValue = "0.3",
+                    description = "part of that day's fleet and rate") double
+                    scale,
             @Option(names = "--seed", description = "in place of the file's") Long seed,
             @Option(names = "--report", paramLabel = "DIR",
                     description = "keeps tables, JSON lines, charts") Path
@@ -178,11 +196,16 @@
         if (System.getProperty(LOG_LEVEL) == null) {
             System.setProperty(LOG_LEVEL, "OFF");
         }
-        DayFile day = DayFile.read(file);
-        DayFile seeded = seed == null ? day : day.seed(seed);
+        if ((file == null) == (bench == null) || !(scale > 0 && scale <= 1)) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "day takes a FILE or --from-bench DAY.json, and --scale above 0 and up to 1");
+        }
         Path directory = report == null ? Files.createTempDirectory("rowanmoor-day") : report;
         Files.createDirectories(directory);
-        Played played = simulated ? Player.simulate(seeded) : Player.play(seeded, file, directory);
+        Path dayFile = file == null ? convert(bench, scale, directory) : file;
+        DayFile day = DayFile.read(dayFile);
+        DayFile seeded = seed == null ? day : day.seed(seed);
+        Played played = simulated ? Player.simulate(seeded) : Player.play(seeded, dayFile, directory);
         out().print(Report.text(played));
         out().flush();
         if (report != null) {
@@ -192,6 +215,32 @@
         return played.passed() ? 0 : 1;
     }
 
+    /** Writes the bench's day as a day file, and says what of it cannot be played. */
+    private Path convert(Path bench, double scale, Path directory) throws IOException {
+        BenchDay.Converted converted = BenchDay.convert(bench, scale);
+        Path file = directory.resolve("from-bench.kdl");
+        Files.writeString(file, converted.text());
+        out().println("day file: " + file);
+        converted.leftOut().forEach(l -> out().println("left out: " + l));
+        out().flush();
+        return file;
+    }
+
+    @Command(name = "fuzz",
+            description = "Feeds a parser mutants of sound inputs, until it fails or time is up.")
+    int fuzz(@Parameters(paramLabel = "PARSER", description = "${COMPLETION-CANDIDATES}") Fuzz.Target target,
+            @Option(names = "--seconds", defaultValue = "10") int seconds,
+            @Option(names = "--seed", defaultValue = "1") long seed) {
+        long end = System.nanoTime() + seconds * 1_000_000_000L;
+        Fuzz.Found found = new Fuzz(target, seed).run(Long.MAX_VALUE, () -> System.nanoTime() < end);
+        out().printf("%s, seed %d: %d inputs, %d refused, at most %d bytes allocated for one%n", target, seed,
+                found.inputs(), found.refused(), found.mostAllocated());
+        found.refusals().forEach((why, times) -> out().printf("%10d  %s%n", times, why));
+        out().println(found.failure() == null ? "nothing found" : "FAILED: " + found.failure());
+        out().flush();
+        return found.failure() == null ? 0 : 1;
+    }
+
     @Command(name = "replay",
             description = "Feeds a controller's trace to a new instance and compares orders.")
     int replay(@Parameters(paramLabel = "TRACE") Path trace) throws IOException {
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/BenchDay.java
@@ -0,0 +1,220 @@
+package rowanmoor.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Turns a day that the bench draws (JSON, times in microseconds) into a day file. The fleet and the rate
+ * shrink alike to what is asked; troubles that stand-ins cannot play are named, in the file and to the
+ * caller.
+ */
+public final class BenchDay {
+
+    /** The file's text, and a line for each trouble left out. */
+    public record Converted(String text, List<String> leftOut) { }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final double MICROS = 1e6;
+
+    private final JsonNode day;
+    private final double scale;
+    private final StringBuilder out = new StringBuilder();
+    private final List<String> leftOut = new ArrayList<>();
+
+    private BenchDay(JsonNode day, double scale) {
+        this.day = day;
+        this.scale = scale;
+    }
+
+    /** @param scale part of the fleet and the rate to keep, above 0 and up to 1 */
+    public static Converted convert(Path file, double scale) throws IOException {
+        JsonNode day = JSON.readTree(Files.readString(file));
+        if (day == null || !day.path("family").asText().equals("control") || !day.has("troubles")) {
+            throw new IOException(file + ": family: is no day of a control service");
+        }
+        return new BenchDay(day, scale).converted();
+    }
+
+    private void line(String format, Object... arguments) {
+        out.append(String.format(Locale.ROOT, format, arguments)).append('\n');
+    }
+
+    private static String ms(double micros) {
+        return Math.max(1, Math.round(micros / 1000)) + "ms";
+    }
+
+    private static String quoted(Iterable<JsonNode> names) {
+        List<String> all = new ArrayList<>();
+        names.forEach(n -> all.add("\"" + n.asText() + "\""));
+        return String.join(" ", all);
+    }
+
+    private Converted converted() {
+        JsonNode tier = day.get("tiers").get(0);
+        int proxies = Math.max(2, (int) Math.round(day.get("balancers").size() * scale));
+        line("day \"%s %s\" {", day.path("site").asText(), day.path("kind").asText());
+        line("    seed %d", Math.floorMod(day.path("noise").asLong(), 1_000_000));
+        line("    length \"%s\"%n    settle \"5s\"%n}%n", ms(day.path("length").asDouble()));
+        site(tier, proxies);
+        double capacity = fleet(tier, proxies);
+        JsonNode discovery = day.get("discovery");
+        line("roster { notice \"%s\"; wait \"2s\"; empty-hold \"3s\" }%n",
+                ms(discovery.path("notice").asDouble()));
+        load(capacity);
+        line("troubles {");
+        day.get("troubles").forEach(this::trouble);
+        line("}");
+        leftOut.forEach(l -> line("// left out: %s", l));
+        return new Converted(out.toString(), List.copyOf(leftOut));
+    }
+
+    private void site(JsonNode tier, int proxies) {
+        JsonNode fam = day.get("fam");
+        List<JsonNode> kinds = new ArrayList<>();
+        tier.get("kinds").forEach(k -> kinds.add(k.get("name")));
+        line("site {%n    zones %s%n    kinds %s", quoted(day.get("zones")), quoted(kinds));
+        for (JsonNode c : day.get("classes")) {
+            String limits = c.path("only_kinds").size() == 0 ? "" : "; only-kinds " + quoted(names(c,
+                    "only_kinds",
+                    kinds));
+            limits += c.path("only_zones").size() == 0 ? "" : "; only-zones " + quoted(names(c, "only_zones",
+                    list(day.get("zones"))));
+            line("    class \"%s\" { prefix \"/%s\"; aim \"%s\"; deadline \"%s\"; worth %s; late-worth %s;"
+                    + " effect \"%s\"; group \"%s\"; window \"%s\"; write #%s%s }", c.get("name").asText(),
+                    c.get("name").asText(), ms(c.get("aim").asDouble()), ms(c.get("deadline").asDouble()),
+                    c.get("worth").asText(), c.get("late_worth").asText(), c.get("effect").asText(),
+                    c.path("group").asText("all"), ms(c.path("window").asDouble(5e6)),
+                    c.path("write").asBoolean(), limits);
+        }
+        List<String> columns = new ArrayList<>();
+        Map<String, String> names = Map.of("queue", "queue", "latency_ms", "latency-ms", "util", "busy",
+                "inflight",
+                "inflight");
+        for (JsonNode field : tier.path("report_fields")) {
+            if (names.containsKey(field.asText())) {
+                columns.add("\"" + names.get(field.asText()) + "\"");
+            }
+        }
+        if (!columns.isEmpty()) {
+            line("    load-report %s", String.join(" ", columns));
+        }
+        line("    probes #%s%n    choice \"%s\"%n    admission \"%s\"%n    standing %d%n    ejects %d",
+                day.path("allow").path("probes").asBoolean(), fam.path("pick").asText("two"),
+                fam.path("admit").asText("rate").replace("none", "off"), fam.path("standing").asInt(5),
+                fam.path("ejects").asInt());
+        line("    eject-for \"%s\"%n    proxies %d%n    period \"%s\"%n    intake \"%s/s\"",
+                ms(fam.path("eject").asDouble()), proxies, ms(fam.path("period").asDouble()),
+                fam.path("intake").asText());
+        line("    rules { bare \"%s\"; drain-grace \"%s\"; cold \"%s\"; cold-from %s; fall-multiple %s;"
+                + " fall-span \"%s\" }", ms(fam.path("bare").asDouble()),
+                        ms(day.path("drain_grace").asDouble()),
+                ms(tier.path("stated_cold").asDouble()), tier.path("stated_cold_from").asText(),
+                day.path("fall_multiple").asText(), ms(day.path("fall_for").asDouble()));
+        line("    channel { pace \"%s/s\"; head %s; backlog %s; late \"%s\"; latest \"%s\" }%n}%n",
+                fam.path("rate").asText(), fam.path("head").asText(), fam.path("backlog").asText(),
+                ms(fam.path("late").asDouble()), ms(3 * fam.path("late").asDouble()));
+    }
+
+    private static List<JsonNode> list(JsonNode array) {
+        List<JsonNode> all = new ArrayList<>();
+        array.forEach(all::add);
+        return all;
+    }
+
+    private static List<JsonNode> names(JsonNode cls, String key, List<JsonNode> names) {
+        List<JsonNode> all = new ArrayList<>();
+        // By tier, or at once: a control service has one tier.
+        cls.get(key).forEach(n -> (n.isArray() ? list(n) : List.of(n)).forEach(one ->
+                all.add(one.isInt() ? names.get(one.asInt()) : one)));
+        return all;
+    }
+
+    /** Writes the fleet; answers what it can do, work a second. */
+    private double fleet(JsonNode tier, int proxies) {
+        TreeMap<Integer, List<JsonNode>> byKind = new TreeMap<>();
+        day.get("servers").forEach(s -> byKind.computeIfAbsent(s.get("kind").asInt(),
+                k -> new ArrayList<>()).add(s));
+        List<String> controllers = new ArrayList<>();
+        day.get("fam").path("controllers").forEach(z -> controllers.add("\"" + day.get("zones").get(z.asInt())
+                .asText() + "\""));
+        line("fleet {%n    controllers %s%n    proxies %d%n    proxy-skew 0.8", String.join(" ", controllers),
+                proxies);
+        double[] capacity = {0};
+        byKind.forEach((kind, servers) -> {
+            JsonNode k = tier.get("kinds").get(kind);
+            int count = Math.max(1, (int) Math.round(servers.size() * scale));
+            double speed = servers.stream().mapToDouble(s -> s.get("speed").asDouble()).average().orElse(1);
+            capacity[0] += count * speed * k.get("cores").asInt();
+            line("    backends \"%s\" { count %d; cores %d; speed %.3f; slots %d; queue %d; weight %s;"
+                    + " connections %d; cold-from %.3f; cold \"%s\" }", k.get("name").asText(), count,
+                            k.get("cores").asInt(),
+                    speed, k.get("slots").asInt(), k.get("queue").asInt(),
+                    servers.get(0).path("weight").asText("1"), Math.max(50, Math.round(
+                            tier.path("conn_cap_per_core").asDouble(100) * k.get("cores").asInt())),
+                    k.get("cold_from").asDouble(), ms(k.get("cold").asDouble()));
+        });
+        line("}%n");
+        return capacity[0];
+    }
+
+    private void load(double capacity) {
+        double shares = 0;
+        double work = 0;
+        for (JsonNode c : day.get("classes")) {
+            shares += c.get("share").asDouble();
+            work += c.get("share").asDouble() * c.get("work").asDouble() / MICROS;
+        }
+        double rate = day.get("traffic").get("load").asDouble() * capacity / (work / shares);
+        line("load {%n    rate \"%.1f/s\"%n    swing 0.1", rate);
+        for (JsonNode c : day.get("classes")) {
+            line("    class \"%s\" { share %.4f; work \"%s\" }", c.get("name").asText(),
+                    Math.min(1, c.get("share").asDouble()), ms(c.get("work").asDouble()));
+        }
+        JsonNode clients = day.get("clients");
+        line("}%n%nclients { retries %d; backoff \"%s\"; try-share %.3f }%n", clients.path("retries").asInt(),
+                ms(clients.path("backoff_us").asDouble()), clients.path("try_share").asDouble(1));
+    }
+
+    private void trouble(JsonNode t) {
+        String kind = t.get("kind").asText();
+        double part = Math.min(1, t.path("on").size() / (double) day.get("servers").size());
+        double partOfProxies = Math.min(1, t.path("on").size() / (double) day.get("balancers").size());
+        String size = String.format(Locale.ROOT, "%.3f", t.path("size").asDouble());
+        String zone = "zone \"" + day.get("zones").get(Math.min(day.get("zones").size() - 1,
+                t.path("which").asInt())).asText() + "\"";
+        String its = switch (kind) {
+            case "crash" -> "crash { %s; part " + number(part) + " }";
+            case "slow" -> "slow { %s; part " + number(part) + "; size " + size + " }";
+            case "shared_slow" -> "slow { %s; part 1; size " + size + " }";
+            case "fast_errors" -> "fast-errors { %s; part " + number(part) + "; size " + size + " }";
+            case "pauses" -> "pauses { %s; part " + number(part) + "; size " + size + " }";
+            case "burst" -> "burst { %s; size " + size + " }";
+            case "zone_cut" -> "zone-cut { %s; " + zone + " }";
+            case "zone_loss" -> "zone-loss { %s; " + zone + " }";
+            case "discovery_down" -> "roster-down { %s }";
+            case "counter_down" -> "proxies-cut { %s; part " + number(partOfProxies) + " }";
+            case "answer_lost" -> "answers-lost { %s; part " + number(part) + "; size " + size + " }";
+            case "false_reports" -> "false-reports { %s; part " + number(part) + "; size " + size + " }";
+            default -> null;
+        };
+        if (its == null) {
+            leftOut.add(kind + " at " + ms(t.get("at").asDouble()) + " for " + ms(t.get("len").asDouble())
+                    + ": no stand-in plays it");
+        } else {
+            String when = "at \"" + ms(t.get("at").asDouble()) + "\"; for \"" + ms(t.get("len").asDouble());
+            line("    " + its, when + "\"");
+        }
+    }
+
+    private static String number(double part) {
+        return String.format(Locale.ROOT, "%.3f", part);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/Charts.java
@@ -0,0 +1,137 @@
+package rowanmoor.lab;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import com.fasterxml.jackson.databind.JsonNode;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import rowanmoor.channel.ChannelError;
+import rowanmoor.channel.ChannelLimits;
+import rowanmoor.channel.Frame;
+import rowanmoor.channel.FrameReader;
+import rowanmoor.standin.Clients;
+
+/** A played day's charts, a second to a point: load, service, table versions, levels, lines waiting. */
+final class Charts {
+
+    private static final double SECOND = 1e9;
+    /** Levels at or above this let everything in and are not drawn. */
+    private static final double OPEN = 1e5;
+
+    private final Played played;
+    private final Path directory;
+    private final int seconds;
+
+    Charts(Played played, Path directory) {
+        this.played = played;
+        this.directory = directory;
+        this.seconds = (int) Math.ceil(played.day().length() / SECOND);
+    }
+
+    void write() throws IOException {
+        outcomes("load", "requests a second", o -> true);
+        outcomes("served", "answered within the aim, a second", o -> o.answered()
+                && o.took() <= played.day().site().classes().get(o.cls()).aim());
+        orders();
+        waiting();
+    }
+
+    private int second(long at) {
+        return (int) Math.floorDiv(at - played.evidence().start(), (long) SECOND);
+    }
+
+    private void outcomes(String name, String axis, Predicate<Clients.Outcome> counts) throws IOException {
+        Map<String, double[]> series = new TreeMap<>();
+        for (Clients.Outcome o : played.outcomes()) {
+            int second = second(o.arrivedAt());
+            if (counts.test(o) && second >= 0 && second < seconds) {
+                series.computeIfAbsent(played.day().site().classNames().get(o.cls()),
+                        c -> new double[seconds])[second]++;
+            }
+        }
+        save(name, axis, series);
+    }
+
+    /** Versions and levels as proxies read them. */
+    private void orders() throws IOException {
+        double[] versions = new double[seconds];
+        Map<String, double[]> levels = new TreeMap<>();
+        Map<String, FrameReader> readers = new HashMap<>();
+        for (Evidence.Tapped tap : played.evidence().taps()) {
+            FrameReader reader = readers.computeIfAbsent(tap.proxy() + "/" + tap.stream(),
+                    k -> new FrameReader(ChannelLimits.usual()));
+            ByteBuffer bytes = ByteBuffer.wrap(tap.bytes());
+            int second = second(tap.at());
+            try {
+                while (bytes.hasRemaining()) {
+                    Frame frame = reader.next(bytes);
+                    if (frame instanceof Frame.Update update && second >= 0 && second < seconds) {
+                        versions[second]++;
+                        update.orders().forEach(o -> levels(o, second, levels));
+                    }
+                }
+            } catch (ChannelError e) {
+                readers.remove(tap.proxy() + "/" + tap.stream()); // the judge tells of it
+            }
+        }
+        save("versions", "updates read a second, all proxies", Map.of("updates", versions));
+        save("levels", "lowest level ordered in the second, requests a second at a proxy", levels);
+    }
+
+    private void levels(Frame.Order order, int second, Map<String, double[]> levels) {
+        List<Frame.Level> all = order instanceof Frame.Admit a ? List.of(a.level())
+                : order instanceof Frame.Bind b ? b.table().levels() : List.of();
+        for (Frame.Level level : all) {
+            for (int c = 0; c < played.met().size(); c++) {
+                if ((level.classes() >> c & 1) == 1 && level.level() < OPEN) {
+                    double[] its = levels.computeIfAbsent(played.day().site().classNames().get(c),
+                            k -> new double[seconds]);
+                    its[second] = its[second] == 0 ? level.level() : Math.min(its[second], level.level());
+                }
+            }
+        }
+    }
+
+    private void waiting() throws IOException {
+        Map<String, double[]> series = new TreeMap<>();
+        for (int rank = 0; rank < played.day().controllerZones().size(); rank++) {
+            List<Double> y = new ArrayList<>();
+            for (JsonNode stat : played.stats()) {
+                if (stat.get("rank").asInt() == rank) {
+                    y.add(stat.get("waiting").asDouble());
+                }
+            }
+            if (!y.isEmpty()) {
+                series.put("controller " + rank, y.stream().mapToDouble(v -> v).toArray());
+            }
+        }
+        save("waiting", "lines waiting in the channel", series);
+    }
+
+    private void save(String name, String axis, Map<String, double[]> series) throws IOException {
+        if (series.isEmpty()) {
+            return;
+        }
+        XYChart chart = new XYChartBuilder().width(900).height(400).title(played.day().name() + ": " + name)
+                .xAxisTitle("seconds").yAxisTitle(axis).build();
+        chart.getStyler().setMarkerSize(0);
+        series.forEach((label, y) -> {
+            double[] x = new double[y.length];
+            for (int i = 0; i < x.length; i++) {
+                x[i] = i;
+            }
+            chart.addSeries(label, x, y);
+        });
+        VectorGraphicsEncoder.saveVectorGraphic(chart, directory.resolve(name).toString(),
+                VectorGraphicsFormat.SVG);
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/Fuzz.java
@@ -0,0 +1,245 @@
+package rowanmoor.lab;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Retry;
+import rowanmoor.channel.ChannelError;
+import rowanmoor.channel.ChannelLimits;
+import rowanmoor.channel.Codec;
+import rowanmoor.channel.Frame;
+import rowanmoor.channel.FrameReader;
+import rowanmoor.http.HttpError;
+import rowanmoor.http.Limits;
+import rowanmoor.http.Message;
+import rowanmoor.kdl.KdlError;
+
+/**
+ * Feeds a parser mutants of sound inputs. Three things must hold for each: nothing is thrown but the
+ * parser's own error; the same bytes in other pieces give the same; and no more is allocated than the
+ * limits allow.
+ */
+public final class Fuzz {
+
+    /** What can be fuzzed. */
+    public enum Target {
+        CHANNEL, HTTP_REQUEST, HTTP_RESPONSE, KDL;
+
+        /** As it is named on the command line. */
+        @Override
+        public String toString() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+
+    /** What a run found; {@code failure} is null if nothing. */
+    public record Found(long inputs, long refused, Map<String, Long> refusals, long mostAllocated,
+            String failure) { }
+
+    private static final ChannelLimits CHANNEL_LIMITS = new ChannelLimits(1 << 16, 512, 64);
+    private static final Limits HTTP_LIMITS = new Limits(256, 1024, 16, 2048);
+    private static final int INPUT_MOST = 4096;
+    private static final int KINDS_KEPT = 40;
+    /** Bytes that reading one input may allocate: generous beside the limits, tiny beside a stated 4 GiB. */
+    private static final long ALLOCATION_MOST = 8L << 20;
+
+    private final Target target;
+    private final SplittableRandom random;
+    private final List<byte[]> corpus;
+    private final Map<String, Long> refusals = new TreeMap<>();
+    private long refused;
+
+    public Fuzz(Target target, long seed) {
+        this.target = target;
+        this.random = new SplittableRandom(seed);
+        this.corpus = corpus(target);
+    }
+
+    /** Tries inputs until a count is reached or this answers false. */
+    public Found run(long inputs, java.util.function.BooleanSupplier goOn) {
+        var threads = (com.sun.management.ThreadMXBean) java.lang.management.ManagementFactory
+                .getThreadMXBean();
+        long most = 0;
+        long tried = 0;
+        while (tried < inputs && goOn.getAsBoolean()) {
+            byte[] input = mutant();
+            tried++;
+            long before = threads.getCurrentThreadAllocatedBytes();
+            String whole;
+            try {
+                whole = story(input, input.length);
+            } catch (RuntimeException | StackOverflowError e) {
+                return new Found(tried, refused, refusals, most, e + " on " + hex(input));
+            }
+            long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+            most = Math.max(most, allocated);
+            if (allocated > ALLOCATION_MOST) {
+                return new Found(tried, refused, refusals, most, allocated + " bytes on " + hex(input));
+            }
+            if (target != Target.KDL && !whole.equals(story(input, 1 + random.nextInt(16)))) {
+                return new Found(tried, refused, refusals, most, "pieces differ on " + hex(input));
+            }
+        }
+        return new Found(tried, refused, refusals, most, null);
+    }
+
+    private static String hex(byte[] input) {
+        return java.util.HexFormat.of().formatHex(input);
+    }
+
+    private String story(byte[] input, int most) {
+        List<String> story = new ArrayList<>();
+        try {
+            switch (target) {
+                case CHANNEL -> channel(input, most, story);
+                case KDL -> story.add(rowanmoor.kdl.Parser.parse(new String(input, StandardCharsets.UTF_8))
+                        .toString());
+                default -> http(input, most, story);
+            }
+        } catch (ChannelError | HttpError | KdlError e) {
+            story.add(e.getMessage());
+            if (most == input.length) {
+                refused++;
+                String kind = e.getMessage().replaceAll("[0-9]+", "N");
+                kind = kind.length() > 60 ? kind.substring(0, 60) : kind;
+                if (refusals.containsKey(kind) || refusals.size() < KINDS_KEPT) {
+                    refusals.merge(kind, 1L, Long::sum);
+                }
+            }
+        }
+        return story.toString();
+    }
+
+    private void channel(byte[] input, int most, List<String> story) throws ChannelError {
+        FrameReader reader = new FrameReader(CHANNEL_LIMITS);
+        for (ByteBuffer piece : pieces(input, most)) {
+            while (piece.hasRemaining()) {
+                Frame frame = reader.next(piece);
+                if (frame != null) {
+                    story.add(frame.toString());
+                }
+            }
+        }
+    }
+
+    private void http(byte[] input, int most, List<String> story) throws HttpError {
+        rowanmoor.http.Parser parser = target == Target.HTTP_REQUEST
+                ? rowanmoor.http.Parser.ofRequests(HTTP_LIMITS) : rowanmoor.http.Parser
+                        .ofResponses(HTTP_LIMITS);
+        for (ByteBuffer piece : pieces(input, most)) {
+            while (piece.hasRemaining()) {
+                Message message = parser.next(piece);
+                if (message != null) {
+                    story.add(message.fields() + new String(message.body(), StandardCharsets.ISO_8859_1));
+                }
+            }
+        }
+    }
+
+    private List<ByteBuffer> pieces(byte[] input, int most) {
+        List<ByteBuffer> pieces = new ArrayList<>();
+        for (int at = 0; at < input.length;) {
+            int count = Math.min(input.length - at, most >= input.length ? most : 1 + random.nextInt(most));
+            pieces.add(ByteBuffer.wrap(input, at, count));
+            at += count;
+        }
+        return pieces;
+    }
+
+    // ---- mutants -------------------------------------------------------------------------------------
+
+    private byte[] mutant() {
+        byte[] bytes = corpus.get(random.nextInt(corpus.size())).clone();
+        int changes = random.nextInt(6);
+        for (int i = 0; i < changes; i++) {
+            bytes = change(bytes);
+        }
+        return bytes.length > INPUT_MOST ? java.util.Arrays.copyOf(bytes, INPUT_MOST) : bytes;
+    }
+
+    private byte[] change(byte[] bytes) {
+        if (bytes.length == 0) {
+            return new byte[] {(byte) random.nextInt(256)};
+        }
+        int at = random.nextInt(bytes.length);
+        int count = 1 + random.nextInt(Math.min(16, bytes.length - at));
+        byte[] other = corpus.get(random.nextInt(corpus.size()));
+        return switch (random.nextInt(6)) {
+            case 0 -> {
+                bytes[at] ^= (byte) (1 << random.nextInt(8));
+                yield bytes;
+            }
+            case 1 -> {
+                bytes[at] = (byte) (random.nextBoolean() ? 0xff : random.nextInt(256));
+                yield bytes;
+            }
+            case 2 -> splice(bytes, at, at + count, new byte[0]);
+            case 3 -> splice(bytes, at, at, java.util.Arrays.copyOfRange(bytes, at, at + count));
+            case 4 -> {
+                int from = random.nextInt(other.length);
+                yield splice(bytes, at, at, java.util.Arrays.copyOfRange(other, from,
+                        Math.min(other.length, from + 24)));
+            }
+            default -> java.util.Arrays.copyOf(bytes, at);
+        };
+    }
+
+    private static byte[] splice(byte[] bytes, int from, int to, byte[] in) {
+        byte[] joined = new byte[bytes.length - (to - from) + in.length];
+        System.arraycopy(bytes, 0, joined, 0, from);
+        System.arraycopy(in, 0, joined, from, in.length);
+        System.arraycopy(bytes, to, joined, from + in.length, bytes.length - to);
+        return joined;
+    }
+
+    private static List<byte[]> corpus(Target target) {
+        return switch (target) {
+            case CHANNEL -> frames().stream().map(f -> Codec.encode(f).array()).map(Fuzz::trimmed).toList();
+            case HTTP_REQUEST -> texts("GET /a/1?x=y HTTP/1.1\r\nHost: h\r\nConnection: keep-alive\r\n\r\n",
+                    "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+                    "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "4;a=b\r\nwiki\r\n5\r\npedia\r\n0\r\nX: y\r\n\r\n",
+                    "GET / HTTP/1.0\r\n\r\n", "HEAD /h HTTP/1.1\r\nHost: h\r\nX: \t spaced \t\r\n\r\n");
+            case HTTP_RESPONSE -> texts("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                    "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                            + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                    "HTTP/1.0 500 Bad\r\n\r\nup to the end",
+                            "HTTP/1.1 503 \r\nX: y\r\nContent-Length: 0\r\n\r\n");
+            case KDL -> texts("(t)node 1 \"two\" k=#true { child -0x1f; other 3.5e2 }\n",
+                    "a #\"raw\"# \"\"\"\n  x\n   y\\n\n  \"\"\" /* c /* d */ */ \\ // e\n b // f\n",
+                    "/- gone { x }\nkept /-1 /-k=3 \"\\u{1F600}\\s\\   \n  z\" #inf #nan; last {}",
+                    "site { zones \"a\" \"b\"; rules { bare \"3s\" } }");
+        };
+    }
+
+    private static List<byte[]> texts(String... texts) {
+        return java.util.Arrays.stream(texts).map(t -> t.getBytes(StandardCharsets.UTF_8)).toList();
+    }
+
+    private static byte[] trimmed(byte[] encoded) {
+        int length = ByteBuffer.wrap(encoded).getInt();
+        return java.util.Arrays.copyOf(encoded, 4 + length);
+    }
+
+    private static List<Frame> frames() {
+        Backend backend = new Backend(0x7f0000011f90L);
+        Frame.Level level = new Frame.Level(3, 12.5, Retry.ONCE_UNRUN);
+        Frame.Table table = new Frame.Table(7, List.of(new Frame.Line(backend, 2.5)), List.of(level));
+        return List.of(new Frame.Hello(Frame.PROTOCOL, 4, 99, 1, 20, true, 5, 6, "relay"),
+                new Frame.Snapshot(5, 6, 7, 8, List.of(table), List.of(new Frame.Binding(7, 3)),
+                        List.of(backend), List.of(level)),
+                new Frame.Update(5, 7, 8, 9, List.of(new Frame.SetLine(7, new Frame.Line(backend, 1)),
+                        new Frame.Clear(7), new Frame.Withdraw(backend, true), new Frame.Admit(7, level),
+                        new Frame.Bind(3, table, List.of(backend)), new Frame.Mark(12))),
+                new Frame.Applied(5, 7, 12), new Frame.Report(List.of(new Frame.Tally(backend, 9, 1, 100,
+                        1000,
+                        List.of(0.5))), List.of(new Frame.Use(1, 5, 0, 1000))),
+                new Frame.Ping(1), new Frame.Goodbye(Frame.Reason.STOPPING, "bye"), new Frame.Resync(5, 7));
+    }
+}
--- a/src/main/java/rowanmoor/lab/Report.java
+++ b/src/main/java/rowanmoor/lab/Report.java
@@ -10,11 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.function.Predicate;
-import org.knowm.xchart.VectorGraphicsEncoder;
-import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
-import org.knowm.xchart.XYChart;
-import org.knowm.xchart.XYChartBuilder;
 import rowanmoor.standin.Clients;
 
 /** What is said of a played day: a text, and with a directory JSON lines and charts. */
@@ -112,64 +107,6 @@
                 out.write(((ObjectNode) stat.deepCopy()).put("what", "stats") + "\n");
             }
         }
-        chart(directory, "load", "requests a second", played, o -> true);
-        chart(directory, "served", "answered within the aim, a second", played, o -> o.answered()
-                && o.took() <= played.day().site().classes().get(o.cls()).aim());
-        waiting(directory, played);
-    }
-
-    private static void chart(Path directory, String name, String axis, Played played,
-            Predicate<Clients.Outcome> counts) throws IOException {
-        int seconds = (int) Math.ceil(played.day().length() / SECOND);
-        XYChart chart = empty(played.day().name() + ": " + name, axis);
-        for (int c = 0; c < played.met().size(); c++) {
-            double[] x = new double[seconds];
-            double[] y = new double[seconds];
-            for (int s = 0; s < seconds; s++) {
-                x[s] = s;
-            }
-            for (Clients.Outcome o : played.outcomes()) {
-                int second = (int) ((o.arrivedAt() - played.evidence().start()) / SECOND);
-                if (o.cls() == c && counts.test(o) && second >= 0 && second < seconds) {
-                    y[second]++;
-                }
-            }
-            chart.addSeries(played.day().site().classNames().get(c), x, y);
-        }
-        save(chart, directory, name);
-    }
-
-    private static void waiting(Path directory, Played played) throws IOException {
-        XYChart chart = empty(played.day().name() + ": lines waiting", "lines");
-        boolean any = false;
-        for (int rank = 0; rank < played.day().controllerZones().size(); rank++) {
-            List<Double> y = new ArrayList<>();
-            List<Integer> x = new ArrayList<>();
-            for (JsonNode stat : played.stats()) {
-                if (stat.get("rank").asInt() == rank) {
-                    x.add(x.size());
-                    y.add(stat.get("waiting").asDouble());
-                }
-            }
-            if (!x.isEmpty()) {
-                any = true;
-                chart.addSeries("controller " + rank, x, y);
-            }
-        }
-        if (any) {
-            save(chart, directory, "waiting");
-        }
-    }
-
-    private static XYChart empty(String title, String axis) {
-        XYChart chart = new XYChartBuilder().width(900).height(400).title(title).xAxisTitle("seconds")
-                .yAxisTitle(axis).build();
-        chart.getStyler().setMarkerSize(0);
-        return chart;
-    }
-
-    private static void save(XYChart chart, Path directory, String name) throws IOException {
-        VectorGraphicsEncoder.saveVectorGraphic(chart, directory.resolve(name).toString(),
-                VectorGraphicsFormat.SVG);
+        new Charts(played, directory).write();
     }
 }
--- /dev/null
+++ b/src/test/java/rowanmoor/lab/FuzzTest.java
@@ -0,0 +1,20 @@
+package rowanmoor.lab;
+
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The same mutants at every build; long runs: rowanmoor fuzz. */
+class FuzzTest {
+
+    @ParameterizedTest
+    @EnumSource(Fuzz.Target.class)
+    void noMutantBreaksAParser(Fuzz.Target target) {
+        Fuzz.Found found = new Fuzz(target, 42).run(10_000, () -> true);
+        assertNull(found.failure());
+        assertTrue(found.refused() > 1000 && found.refused() < 10_000, found.refused() + " refused");
+        assertTrue(found.refusals().size() >= 8, found.refusals().toString());
+    }
+}
