--- a/src/test/java/rowanmoor/DocsTest.java
+++ b/src/test/java/rowanmoor/DocsTest.java
@@ -37,6 +37,27 @@
         }
     }
 
+    /** Each line of the operators' page is one that the program logs. */
+    @Test
+    void everyLineOfTheOperatorsPageIsLogged() throws IOException {
+        StringBuilder sources = new StringBuilder();
+        try (java.util.stream.Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+            for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                sources.append(Files.readString(file));
+            }
+        }
+        int lines = 0;
+        for (String line : Files.readAllLines(Path.of("docs/running.md"))) {
+            Matcher matcher = Pattern.compile("^\\| `([^`]+)` \\|").matcher(line);
+            if (matcher.find()) {
+                lines++;
+                assertTrue(Pattern.compile("(LOG|getLogger\\([^)]*\\))\\.[a-z]+\\(\"" + matcher.group(1))
+                        .matcher(sources).find(), matcher.group(1) + " is never logged");
+            }
+        }
+        assertEquals(10, lines);
+    }
+
     /** What the module logs through a day with a sick backend, an overload, a loss and a return. */
     private static String emitted() {
         Stand stand = new Stand(TestSettings.plain()).start(8, 4);
