Capture load in checksummed segments; read, cut, scale and export it

The capacity planner starts from what controllers heard. Records of requests, tries, lists and joins go through a bounded queue to a thread that writes CBOR segments; what a full queue drops is counted and written down; a cut or damaged record costs itself alone and is named.

--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -37,7 +37,7 @@
 /** The command line's sub-commands. Exit codes: 0 well, 1 it failed, 2 the arguments are wrong. */
 @Command(name = "rowanmoor", mixinStandardHelpOptions = true, version = "rowanmoor 0.2.0-SNAPSHOT",
         description = "Publishes routing tables to a fleet of plain proxies.",
-        subcommands = {CommandLine.HelpCommand.class})
+        subcommands = {CommandLine.HelpCommand.class, CaptureCommands.class})
 public final class Commands {
 
     private static final String LOG_LEVEL = "rowanmoor.log.level";
@@ -126,7 +126,7 @@
         long epoch = System.currentTimeMillis() << 20 | new SplittableRandom().nextInt(1 << 20);
         Controller controller = new Controller(config, loop, seed == null ? epoch : seed, epoch,
                 System::currentTimeMillis);
-        runUntilStopped(loop, controller::stop, controller::closeTrace);
+        runUntilStopped(loop, controller::stop, controller::closeFiles);
         return 0;
     }
 
--- a/src/main/java/rowanmoor/config/ControllerConfig.java
+++ b/src/main/java/rowanmoor/config/ControllerConfig.java
@@ -15,12 +15,13 @@
  * @param emptyHold how long the roster must go on saying that there are no backends to be believed, ns
  * @param probePath where backends answer probes
  * @param trace file for what was heard and ordered, or null
+ * @param capture where load is captured, or null
  */
 public record ControllerConfig(Site site, int rank, int instances, int zone, InetSocketAddress listen,
         long tick,
         long helloWithin, long silentAfter, int streamsMost, long queueBytes, InetSocketAddress roster,
         String service, long rosterWait, long emptyHold, String probePath, long probeWithin, int probesAtOnce,
-        Path trace, long statsEvery) {
+        Path trace, CaptureConfig capture, long statsEvery) {
 
     public static ControllerConfig read(Path file) throws ConfigError {
         return read(Section.read(file));
@@ -50,7 +51,9 @@
                 p == null ? "/load" : p.text("path", "/load"),
                 p == null ? Section.nanos("250ms") : p.duration("within", "10ms", "60s", "250ms"),
                 p == null ? 16 : p.whole("at-once", 1, 4096, 16),
-                trace.isEmpty() ? null : Path.of(trace), c.duration("stats-every", "100ms", "1h", "10s"));
+                trace.isEmpty() ? null : Path.of(trace),
+                c.has("capture") ? CaptureConfig.read(c.section("capture")) : null,
+                c.duration("stats-every", "100ms", "1h", "10s"));
         r.finish();
         if (p != null) {
             p.finish();
--- a/src/main/java/rowanmoor/controller/Controller.java
+++ b/src/main/java/rowanmoor/controller/Controller.java
@@ -15,7 +15,10 @@
 import rowanmoor.ControlApi.Action;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Event;
+import rowanmoor.ControlApi.Member;
 import rowanmoor.ControlApi.Settings;
+import rowanmoor.capture.CaptureWriter;
+import rowanmoor.capture.LoadRecord;
 import rowanmoor.channel.Frame;
 import rowanmoor.config.ControllerConfig;
 import rowanmoor.discovery.LoadColumns;
@@ -39,6 +42,7 @@
     private final RosterClient roster;
     private final Prober prober;
     private final Trace trace;
+    private final CaptureWriter capture;
     private final Loop.Listener listener;
     private final Map<Integer, ProxyStream> streams = new TreeMap<>();
     private final Histogram decided = new Histogram(HIGHEST_TIMED, 3);
@@ -60,11 +64,17 @@
         this.loop = loop;
         Settings settings = config.site().settings(config.instances(), config.rank(), config.zone());
         this.trace = config.trace() == null ? null : new Trace(config.trace(), settings, seed);
+        this.capture = config.capture() == null ? null : new CaptureWriter(config.capture(),
+                new LoadRecord.Start(loop.now(), wall.getAsLong(), config.rank(), epoch,
+                        config.site().zones(),
+                        config.site().kinds(), config.site().classNames()), text -> LOG.error("capture {}",
+                                kv("what", text)));
         this.driver = new Driver(settings, seed, epoch, loop.now(), this, System::nanoTime);
         this.roster = new RosterClient(loop, config.roster(), config.service(), "rowanmoor-" + config.rank(),
                 config.rosterWait(),
                 config.emptyHold(), config.site().zones(), config.site().kinds(), wall, members -> {
                     driver.hearList(members);
+                    members.entries().forEach(this::captureListed);
                     tickSoon();
                 }, text -> LOG.warn("roster {}", kv("what", text)));
         this.prober = new Prober(loop, config.probePath(), config.probeWithin(), config.probesAtOnce(),
@@ -126,6 +136,7 @@
         }
         streams.put(hello.proxy(), stream);
         driver.joined(loop.now(), hello);
+        capture(new LoadRecord.Joined(loop.now(), hello.proxy(), hello.zone(), hello.rate()));
         LOG.info("proxy joined {} {} {}", kv("proxy", hello.proxy()), kv("name", hello.name()),
                 kv("held", hello.epoch() + "/" + hello.version()));
         tickSoon();
@@ -142,6 +153,7 @@
             driver.applied(loop.now(), proxy, applied);
         } else if (frame instanceof Frame.Report report) {
             driver.report(proxy, report);
+            captureReport(stream.hello(), report);
         } else if (frame instanceof Frame.Resync resync) {
             LOG.warn("proxy asks for a snapshot {} {}", kv("proxy", proxy),
                     kv("held", resync.epoch() + "/" + resync.version()));
@@ -161,11 +173,34 @@
                     stream.connection() == null ? null : stream.connection().remote())), kv("why", why));
         } else if (streams.remove(hello.proxy(), stream)) {
             driver.left(hello.proxy());
+            capture(new LoadRecord.Left(loop.now(), hello.proxy()));
             LOG.info("proxy left {} {}", kv("proxy", hello.proxy()), kv("why", why));
             tickSoon();
         }
     }
 
+    // ---- captured load -------------------------------------------------------------------------------
+
+    private void capture(LoadRecord record) {
+        if (capture != null) {
+            capture.offer(record);
+        }
+    }
+
+    private void captureListed(Member m) {
+        capture(new LoadRecord.Listed(loop.now(), m.backend().toString(), m.zone(), m.kind(),
+                m.listed().toString(), m.weight(), m.startedAt()));
+    }
+
+    private void captureReport(Frame.Hello from, Frame.Report report) {
+        long now = loop.now();
+        report.uses().stream().filter(u -> u.cls() < config.site().classes().size()).forEach(u ->
+                capture(new LoadRecord.Use(now, from.proxy(), from.zone(), u.cls(), u.requests(), u.failed(),
+                        u.span())));
+        report.tallies().forEach(t -> capture(new LoadRecord.Tried(now, from.proxy(), from.zone(),
+                t.backend().toString(), t.tries(), t.failed(), t.latencySum(), t.span())));
+    }
+
     // ---- what the driver asks ------------------------------------------------------------------------
 
     @Override
@@ -236,11 +271,13 @@
             trace.flush();
         }
         Runtime runtime = Runtime.getRuntime();
-        LOG.info("stats {} {} {} {} {} {} {} {} {} {} {}", kv("joined", driver.joinedCount()),
+        LOG.info("stats {} {} {} {} {} {} {} {} {} {} {} {}", kv("joined", driver.joinedCount()),
                 kv("waiting", Math.round(driver.waitingLines())),
                 kv("mostWaiting", Math.round(driver.mostWaitingLines())),
                 kv("lines", Math.round(driver.totalLines())),
-                kv("mostReportsWaiting", driver.mostWaitingReports()), kv("decides", decided.getTotalCount()),
+                kv("mostReportsWaiting", driver.mostWaitingReports()),
+                kv("captureDropped", capture == null ? 0 : capture.dropped()), kv("decides",
+                        decided.getTotalCount()),
                 kv("decideP50us", decided.getValueAtPercentile(50) / 1000),
                 kv("decideP99us", decided.getValueAtPercentile(99) / 1000),
                 kv("decideMaxUs", decided.getMaxValue() / 1000), kv("cpuMs", cpuMillis()),
@@ -260,8 +297,11 @@
         List.copyOf(streams.values()).forEach(s -> s.end(Frame.Reason.STOPPING, "the controller stops"));
     }
 
-    /** Ends the trace; once the loop has ended. */
-    public void closeTrace() throws IOException {
+    /** Ends trace and capture; once the loop has ended. */
+    public void closeFiles() throws IOException {
+        if (capture != null) {
+            capture.close();
+        }
         if (trace != null) {
             trace.close();
         }
--- a/src/main/java/rowanmoor/lab/ControllerLoops.java
+++ b/src/main/java/rowanmoor/lab/ControllerLoops.java
@@ -36,7 +36,7 @@
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         ControllerConfig config = new ControllerConfig(day.site(), rank, day.controllerZones().size(),
                 day.controllerZones().get(rank), any, 5 * MILLI, 5000 * MILLI, 3000 * MILLI, 65535, 1 << 20,
-                roster, "backends", day.rosterWait(), day.emptyHold(), "/load", 250 * MILLI, 16, null,
+                roster, "backends", day.rosterWait(), day.emptyHold(), "/load", 250 * MILLI, 16, null, null,
                 1000 * MILLI);
         Controller controller = new Controller(config, loop, day.seed() * 31 + epoch, epoch,
                 () -> net.now() / MILLI);
--- a/src/main/java/rowanmoor/lab/ControllerProcesses.java
+++ b/src/main/java/rowanmoor/lab/ControllerProcesses.java
@@ -52,10 +52,12 @@
                     listen "127.0.0.1:0"
                     stats-every "1s"
                     trace "%s"
+                    capture { dir "%s" }
                     roster { at "%s:%d"; service "backends"; wait "%dms"; empty-hold "%dms" }
                 }
                 """.formatted(quoted(dayFile.toAbsolutePath()), rank, day.controllerZones().size(), zone,
-                quoted(directory.resolve(name + ".trace").toAbsolutePath()), roster.getHostString(),
+                quoted(directory.resolve(name + ".trace").toAbsolutePath()),
+                quoted(directory.resolve("capture").toAbsolutePath()), roster.getHostString(),
                 roster.getPort(), day.rosterWait() / 1_000_000, day.emptyHold() / 1_000_000));
         Child child = Child.start(name, "1g", directory.resolve(name + ".log"), line -> hear(rank, line, up),
                 "controller", "--config", config.toString(), "--seed",
--- a/src/test/java/rowanmoor/ArchitectureTest.java
+++ b/src/test/java/rowanmoor/ArchitectureTest.java
@@ -27,6 +27,7 @@
                 .layer("http").definedBy("rowanmoor.http")
                 .layer("channel").definedBy("rowanmoor.channel")
                 .layer("discovery").definedBy("rowanmoor.discovery")
+                .layer("capture").definedBy("rowanmoor.capture")
                 .layer("controller").definedBy("rowanmoor.controller")
                 .layer("proxy").definedBy("rowanmoor.proxy")
                 .layer("standin").definedBy("rowanmoor.standin")
@@ -41,7 +42,8 @@
                 .whereLayer("channel").mayOnlyAccessLayers("core")
                 .whereLayer("discovery").mayOnlyAccessLayers("core", "config", "net", "http")
                 .whereLayer("controller").mayOnlyAccessLayers("core", "config", "net", "http", "channel",
-                        "discovery")
+                        "discovery", "capture")
+                .whereLayer("capture").mayOnlyAccessLayers("config")
                 .whereLayer("proxy").mayOnlyAccessLayers("core", "config", "net", "http", "channel",
                         "discovery")
                 .whereLayer("standin").mayOnlyAccessLayers("core", "config", "net", "http", "discovery",
--- a/src/test/java/rowanmoor/controller/ControllerTest.java
+++ b/src/test/java/rowanmoor/controller/ControllerTest.java
@@ -50,7 +50,7 @@
         ControllerConfig c = ControllerConfig.read(Path.of("conf/controller.kdl"));
         controller = new Controller(new ControllerConfig(c.site(), 0, 1, 0, ANY, c.tick(), c.helloWithin(),
                 c.silentAfter(), 250, 4096, roster.address(), c.service(), c.rosterWait(),
-                c.emptyHold(), c.probePath(), c.probeWithin(), c.probesAtOnce(), null, c.statsEvery()), loop, 1,
+                c.emptyHold(), c.probePath(), c.probeWithin(), c.probesAtOnce(), null, null, c.statsEvery()), loop, 1,
                 77, () -> net.now() / MS);
         net.runFor(200 * MS);
     }
