--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -22,9 +22,12 @@
 import rowanmoor.config.Site;
 import rowanmoor.controller.Controller;
 import rowanmoor.controller.Trace;
+import rowanmoor.emulator.Emulator;
+import rowanmoor.emulator.Outcome;
 import rowanmoor.lab.BenchDay;
 import rowanmoor.lab.DayFile;
 import rowanmoor.lab.Fuzz;
+import rowanmoor.lab.Models;
 import rowanmoor.lab.Played;
 import rowanmoor.lab.Player;
 import rowanmoor.lab.Report;
@@ -215,6 +218,33 @@
         return played.passed() ? 0 : 1;
     }
 
+    @Command(name = "emulate", description = "Plays a day file in the emulator and tells what clients met.")
+    int emulate(@Parameters(paramLabel = "FILE") Path file,
+            @Option(names = "--seed", defaultValue = "1") long seed) throws ConfigError {
+        Models.Modelled modelled = Models.of(DayFile.read(file), seed);
+        modelled.leftOut().forEach(l -> out().println("left out: " + l));
+        long before = System.nanoTime();
+        Outcome outcome = Emulator.play(modelled.model(), seed);
+        double seconds = (System.nanoTime() - before) / 1e9;
+        double simulated = (modelled.model().settle() + modelled.model().length()) / 1e9;
+        for (int c = 0; c < outcome.classes().size(); c++) {
+            Outcome.ClassMet met = outcome.classes().get(c);
+            out().printf("%-16s offered %d, good %d, late %d, failed %d; by level %d, no line %d;"
+                    + " p50 %.1f ms, p99 %.1f ms%n", modelled.model().site().classNames().get(c),
+                            met.offered, met.good,
+                    met.late, met.failed, met.byLevel, met.noLine,
+                    met.latency.getValueAtPercentile(50) / 1000.0,
+                            met.latency.getValueAtPercentile(99) / 1000.0);
+        }
+        out().printf("service by worth %.3f, worst 10 s %.3f; most lines waiting %.0f;"
+                + " held time off by %.1e%n",
+                outcome.service(), outcome.worst(10), outcome.controllers().stream().mapToDouble(m ->
+                        m.mostLines).max().orElse(0), outcome.littleOff());
+        out().printf("%d events, %.1f times as fast as the day%n", outcome.events(), simulated / seconds);
+        out().flush();
+        return 0;
+    }
+
     /** Writes the bench's day as a day file, and says what of it cannot be played. */
     private Path convert(Path bench, double scale, Path directory) throws IOException {
         BenchDay.Converted converted = BenchDay.convert(bench, scale);
--- /dev/null
+++ b/src/main/java/rowanmoor/emulator/Emulator.java
@@ -0,0 +1,950 @@
+package rowanmoor.emulator;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Effect;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Member;
+import rowanmoor.ControlApi.Members;
+import rowanmoor.ControlApi.Probed;
+import rowanmoor.channel.Frame;
+import rowanmoor.controller.Driver;
+import rowanmoor.proxy.Router;
+import rowanmoor.proxy.Tallies;
+
+/**
+ * Plays one {@link Model}. The controllers' {@link Driver} (and in it the module) and the proxies'
+ * {@link Router} are the running program's own; clients, network, backends and roster are modelled.
+ * Requests live in plain arrays: none allocates anything while it passes.
+ */
+public final class Emulator {
+
+    private static final int ARRIVAL = 0;
+    private static final int AT_PROXY = 1;
+    private static final int AT_BACKEND = 2;
+    private static final int STATION = 3;
+    private static final int DONE = 4;
+    private static final int REFUSED = 5;
+    private static final int LOST = 6;
+    private static final int GIVE_UP = 7;
+    private static final int RETRY = 8;
+    private static final int REPORT = 9;
+    private static final int TICK = 10;
+    private static final int MESSAGE = 11;
+    private static final int HEARD = 12;
+    private static final int PROBED = 13;
+    private static final int TROUBLE = 14;
+    private static final int RELIEF = 15;
+    private static final int NOTICED = 16;
+    private static final int JOIN = 17;
+
+    private static final long START = 1_000_000_000_000_000L;
+    private static final long MILLI = 1_000_000L;
+    private static final double SECOND = 1e9;
+    private static final long TICK_GAP = 5 * MILLI;
+    private static final long REDIAL = 300 * MILLI;
+    private static final long SILENCE = 3000 * MILLI;
+    private static final long CONNECTION_IDLE = 15_000 * MILLI;
+    private static final int MATRIX_MOST = 8_000_000;
+    private static final long TAIL = 30_000 * MILLI;
+
+    private final Model model;
+    private final Agenda agenda = new Agenda();
+    private final SplittableRandom arrivals;
+    private final SplittableRandom works;
+    private final SplittableRandom ways;
+    private final Station[] stations;
+    private final Backend[] backends;
+    private final Listed[] listed;
+    private final long[] startedAt;
+    private final Router[] routers;
+    private final Tallies[] tallies;
+    private final int[] joinedTo;
+    private final boolean[] cut;
+    private final long[] lastMessage;
+    private final int[] stream;
+    private final Driver[] drivers;
+    private final boolean[] dead;
+    private final long[] tickAt;
+    private final long[] lastTick;
+    private final long[] busyAt;
+    private final double[] busyBefore;
+    private final double[] busyPart;
+    private final double[] proxySums;
+    private final List<Object> parcels = new ArrayList<>();
+    private final List<Integer> freeParcels = new ArrayList<>();
+    private final Outcome outcome;
+    private final double[] good;
+    private final double[] asked;
+    private long now = START;
+    private boolean rosterDown;
+    private double burst = 1;
+    private long epochs;
+    private long version = 1;
+    private double stays;
+    private long events;
+
+    // Requests, by number; free ones are chained.
+    private int[] cls = new int[1024];
+    private int[] proxy = new int[1024];
+    private int[] backend = new int[1024];
+    private int[] triedFirst = new int[1024];
+    private int[] proxyTries = new int[1024];
+    private int[] clientTries = new int[1024];
+    private int[] stamp = new int[1024];
+    private long[] arrivedAt = new long[1024];
+    private long[] sentAt = new long[1024];
+    private double[] work = new double[1024];
+    private boolean[] out = new boolean[1024];
+    private int[] free = new int[1024];
+    private int freeCount;
+    private int used;
+
+    // A job is one request's visit to a backend; it may outlive the try that it was for.
+    private int[] jobOf = new int[1024];
+    private int[] jobRequest = new int[1024];
+    private int[] jobStamp = new int[1024];
+    private long[] jobReached = new long[1024];
+    private double[] jobWork = new double[1024];
+    private int[] freeJobs = new int[1024];
+    private int freeJobCount;
+    private int usedJobs;
+
+    // Connections: those of each proxy to each backend, idle ones and when last used; null where too many.
+    private final int[] idle;
+    private final long[] idleAt;
+    private final int[] connections;
+
+    private Emulator(Model model, long seed) {
+        this.model = model;
+        SplittableRandom root = new SplittableRandom(seed);
+        this.arrivals = root.split();
+        this.works = root.split();
+        this.ways = root.split();
+        SplittableRandom choices = root.split();
+        int count = model.machines().size();
+        int proxies = model.proxyZones().length;
+        this.stations = new Station[count];
+        this.backends = new Backend[count];
+        this.listed = new Listed[count];
+        this.startedAt = new long[count];
+        for (int b = 0; b < count; b++) {
+            stations[b] = new Station(model.machines().get(b), START);
+            backends[b] = new Backend(0x0a0000000000L + ((long) b << 16) + 80);
+            listed[b] = Listed.READY;
+        }
+        this.busyAt = new long[count];
+        Arrays.fill(busyAt, START);
+        this.busyBefore = new double[count];
+        this.busyPart = new double[count];
+        this.connections = new int[count];
+        boolean bounded = model.machines().stream().anyMatch(m -> m.connections() > 0);
+        boolean counted = bounded && (long) proxies * count <= MATRIX_MOST;
+        this.idle = counted ? new int[proxies * count] : null;
+        this.idleAt = counted ? new long[proxies * count] : null;
+        this.routers = new Router[proxies];
+        this.tallies = new Tallies[proxies];
+        this.joinedTo = new int[proxies];
+        this.cut = new boolean[proxies];
+        this.lastMessage = new long[proxies];
+        this.stream = new int[proxies];
+        this.proxySums = new double[proxies];
+        double sum = 0;
+        for (int p = 0; p < proxies; p++) {
+            routers[p] = new Router(model.site(), standing(model.proxyZones()[p], choices), choices.split(),
+                    START);
+            tallies[p] = new Tallies(START);
+            joinedTo[p] = -1;
+            sum += model.proxyWeights()[p];
+            proxySums[p] = sum;
+        }
+        int controllers = model.controllerZones().size();
+        this.drivers = new Driver[controllers];
+        this.dead = new boolean[controllers];
+        this.tickAt = new long[controllers];
+        this.lastTick = new long[controllers];
+        int seconds = (int) (model.length() / 1_000_000_000L) + 1;
+        this.good = new double[seconds];
+        this.asked = new double[seconds];
+        this.outcome = new Outcome(list(model.shares().length, Outcome.ClassMet::new),
+                list(count, Outcome.BackendMet::new), list(controllers, Outcome.ControllerMet::new), good,
+                        asked,
+                0, 0);
+        for (int c = 0; c < controllers; c++) {
+            startController(c, choices.nextLong());
+        }
+        for (int p = 0; p < proxies; p++) {
+            agenda.add(START + (long) (choices.nextDouble() * MILLI * 500), JOIN, p, p % controllers);
+            agenda.add(START + (long) (choices.nextDouble() * model.site().period()), REPORT, p, 0);
+        }
+        for (int t = 0; t < model.troubles().size(); t++) {
+            agenda.add(loadFrom() + model.troubles().get(t).at(), TROUBLE, t, 0);
+        }
+        agenda.add(loadFrom(), ARRIVAL, 0, 0);
+    }
+
+    private static <T> List<T> list(int count, java.util.function.Supplier<T> make) {
+        List<T> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(make.get());
+        }
+        return all;
+    }
+
+    /** Plays a model to its end. The same model and seed give the same outcome. */
+    public static Outcome play(Model model, long seed) {
+        return new Emulator(model, seed).play();
+    }
+
+    private long loadFrom() {
+        return START + model.settle();
+    }
+
+    private List<Backend> standing(int zone, SplittableRandom random) {
+        List<Backend> own = new ArrayList<>();
+        for (int b = 0; b < backends.length; b++) {
+            if (model.machines().get(b).zone() == zone) {
+                own.add(backends[b]);
+            }
+        }
+        List<Backend> from = own.size() >= 3 ? own : new ArrayList<>(List.of(backends));
+        List<Backend> drawn = new ArrayList<>();
+        while (drawn.size() < model.site().standing() && !from.isEmpty()) {
+            drawn.add(from.remove(random.nextInt(from.size())));
+        }
+        return drawn;
+    }
+
+    private Outcome play() {
+        long end = loadFrom() + model.length() + TAIL;
+        while (agenda.next() && agenda.time <= end) {
+            now = Math.max(now, agenda.time);
+            events++;
+            play(agenda.kind, agenda.a, agenda.b);
+            if (now > loadFrom() + model.length() && used == freeCount && usedJobs == freeJobCount
+                    && agenda.kind != REPORT) {
+                break; // all is answered
+            }
+        }
+        double held = 0;
+        for (int b = 0; b < stations.length; b++) {
+            Outcome.BackendMet met = outcome.backends().get(b);
+            met.busy = stations[b].busySeconds(now) / stations[b].machine().cores()
+                    / ((now - START) / SECOND);
+            met.mostWaiting = stations[b].mostWaiting();
+            held += stations[b].heldSeconds(now);
+        }
+        for (int c = 0; c < drivers.length; c++) {
+            settle(c);
+        }
+        double off = stays == 0 ? 0 : Math.abs(held - stays) / stays;
+        return new Outcome(outcome.classes(), outcome.backends(), outcome.controllers(), good, asked, off,
+                events);
+    }
+
+    private void play(int kind, int a, int b) {
+        switch (kind) {
+            case ARRIVAL -> arrive();
+            case AT_PROXY -> atProxy(a, b);
+            case AT_BACKEND -> atBackend(a, b);
+            case STATION -> look(a, b);
+            case DONE -> answered(a, b);
+            case REFUSED -> refused(a, b);
+            case LOST -> lostTry(a, b);
+            case GIVE_UP -> giveUp(a, b);
+            case RETRY -> ask(a);
+            case REPORT -> report(a);
+            case TICK -> tick(a, b);
+            case MESSAGE -> message(a, b);
+            case HEARD -> heard(a, b);
+            case PROBED -> probed(a, b);
+            case TROUBLE -> begin(a);
+            case RELIEF -> relieve(a);
+            case NOTICED -> noticed(a);
+            case JOIN -> join(a, b);
+            default -> throw new IllegalStateException("no event of kind " + kind);
+        }
+    }
+
+    // ---- clients -------------------------------------------------------------------------------------
+
+    private void arrive() {
+        if (now >= loadFrom() + model.length() || model.rate() <= 0) {
+            return;
+        }
+        double wait = -Math.log(1 - arrivals.nextDouble()) / (model.rate() * burst) * SECOND;
+        if (now > loadFrom()) {
+            int request = take();
+            cls[request] = pick(model.shares(), arrivals.nextDouble());
+            proxy[request] = pickProxy(arrivals.nextDouble());
+            work[request] = drawWork(cls[request]);
+            arrivedAt[request] = now;
+            clientTries[request] = 0;
+            Outcome.ClassMet met = outcome.classes().get(cls[request]);
+            met.offered++;
+            asked[second(now)] += model.site().classes().get(cls[request]).worth();
+            ask(request);
+        }
+        agenda.add(now + Math.max(1, (long) wait), ARRIVAL, 0, 0);
+    }
+
+    private int second(long time) {
+        return (int) Math.min(asked.length - 1, (time - loadFrom()) / 1_000_000_000L);
+    }
+
+    private static int pick(double[] parts, double at) {
+        double sum = 0;
+        for (double part : parts) {
+            sum += part;
+        }
+        double left = at * sum;
+        for (int i = 0; i < parts.length; i++) {
+            left -= parts[i];
+            if (left < 0) {
+                return i;
+            }
+        }
+        return parts.length - 1;
+    }
+
+    private int pickProxy(double at) {
+        double target = at * proxySums[proxySums.length - 1];
+        int place = Arrays.binarySearch(proxySums, target);
+        return Math.min(proxySums.length - 1, place < 0 ? -place - 1 : place + 1);
+    }
+
+    private double drawWork(int its) {
+        double mean = model.work()[its];
+        double cv = model.cv()[its];
+        if (cv == 0) {
+            return mean;
+        }
+        if (cv == 1) {
+            return -Math.log(1 - works.nextDouble()) * mean;
+        }
+        double sigma2 = Math.log(1 + cv * cv);
+        double normal = Math.sqrt(-2 * Math.log(1 - works.nextDouble()))
+                * Math.cos(2 * Math.PI * works.nextDouble());
+        return mean * Math.exp(Math.sqrt(sigma2) * normal - sigma2 / 2);
+    }
+
+    private int take() {
+        if (freeCount > 0) {
+            return free[--freeCount];
+        }
+        if (used == cls.length) {
+            grow();
+        }
+        return used++;
+    }
+
+    private void grow() {
+        int room = 2 * used;
+        cls = Arrays.copyOf(cls, room);
+        proxy = Arrays.copyOf(proxy, room);
+        backend = Arrays.copyOf(backend, room);
+        triedFirst = Arrays.copyOf(triedFirst, room);
+        proxyTries = Arrays.copyOf(proxyTries, room);
+        clientTries = Arrays.copyOf(clientTries, room);
+        stamp = Arrays.copyOf(stamp, room);
+        arrivedAt = Arrays.copyOf(arrivedAt, room);
+        sentAt = Arrays.copyOf(sentAt, room);
+        jobOf = Arrays.copyOf(jobOf, room);
+        work = Arrays.copyOf(work, room);
+        out = Arrays.copyOf(out, room);
+        free = Arrays.copyOf(free, room);
+    }
+
+    /** A client's try: it reaches its proxy at once, the proxy stands beside it. */
+    private void ask(int request) {
+        clientTries[request]++;
+        proxyTries[request] = 0;
+        backend[request] = -1;
+        triedFirst[request] = -1;
+        out[request] = false;
+        jobOf[request] = -1;
+        int its = ++stamp[request];
+        outcome.classes().get(cls[request]).tries++;
+        long deadline = model.site().classes().get(cls[request]).deadline();
+        long left = arrivedAt[request] + deadline - now;
+        agenda.add(now + Math.max(1, Math.min(left, (long) (model.tryShare() * deadline))), GIVE_UP, request,
+                its);
+        agenda.add(now, AT_PROXY, request, its);
+    }
+
+    private void giveUp(int request, int its) {
+        if (stamp[request] != its) {
+            return;
+        }
+        if (out[request]) {
+            int job = jobOf[request];
+            if (job >= 0 && stations[backend[request]].drop(now, job)) {
+                left(job); // it still waited; what runs runs on
+            }
+            endTry(request, false);
+        }
+        tallies[proxy[request]].unanswered(cls[request]);
+        tryFailed(request, false);
+    }
+
+    private void tryFailed(int request, boolean refused) {
+        stamp[request]++;
+        var spec = model.site().classes().get(cls[request]);
+        boolean may = refused || spec.effect() == Effect.SAFE;
+        if (may && clientTries[request] <= model.retries()
+                && now + model.backoff() < arrivedAt[request] + spec.deadline()) {
+            agenda.add(now + model.backoff(), RETRY, request, 0);
+        } else {
+            outcome.classes().get(cls[request]).failed++;
+            release(request);
+        }
+    }
+
+    private void release(int request) {
+        stamp[request]++;
+        free[freeCount++] = request;
+    }
+
+    // ---- proxies -------------------------------------------------------------------------------------
+
+    private void atProxy(int request, int its) {
+        if (stamp[request] != its) {
+            return;
+        }
+        int p = proxy[request];
+        int c = cls[request];
+        if (proxyTries[request] == 0) {
+            tallies[p].came(c);
+            if (!routers[p].admits(c, now)) {
+                outcome.classes().get(c).byLevel++;
+                tryFailed(request, true);
+                return;
+            }
+        }
+        Set<Backend> tried = triedFirst[request] < 0 ? Set.of() : Set.of(backends[triedFirst[request]]);
+        Backend picked = routers[p].pick(c, tried, now);
+        if (picked == null) {
+            outcome.classes().get(c).noLine++;
+            tallies[p].unanswered(c);
+            tryFailed(request, true);
+            return;
+        }
+        int b = (int) (picked.id() >> 16 & 0xffffff);
+        backend[request] = b;
+        proxyTries[request]++;
+        sentAt[request] = now;
+        out[request] = true;
+        routers[p].sent(picked);
+        if (!connect(p, b)) {
+            outcome.backends().get(b).noConnection++;
+            agenda.add(now + 2 * way(p, b), REFUSED, request, its);
+            return;
+        }
+        agenda.add(now + way(p, b), AT_BACKEND, request, its);
+    }
+
+    private long way(int p, int b) {
+        boolean same = model.proxyZones()[p] == model.machines().get(b).zone();
+        long mean = same ? model.sameZone() : model.crossZone();
+        return (long) (mean * (0.75 + 0.5 * ways.nextDouble()));
+    }
+
+    /** A connection that is free, or a new one if the backend takes more. */
+    private boolean connect(int p, int b) {
+        if (idle == null) {
+            return true;
+        }
+        int place = p * stations.length + b;
+        if (idle[place] > 0) {
+            idle[place]--;
+            return true;
+        }
+        int most = model.machines().get(b).connections();
+        if (most > 0 && connections[b] >= most) {
+            return false;
+        }
+        connections[b]++;
+        Outcome.BackendMet met = outcome.backends().get(b);
+        met.mostConnections = Math.max(met.mostConnections, connections[b]);
+        return true;
+    }
+
+    private void disconnect(int p, int b, boolean kept) {
+        if (idle != null && kept) {
+            int place = p * stations.length + b;
+            idle[place]++;
+            idleAt[place] = now;
+        } else if (idle != null) {
+            connections[b]--;
+        }
+    }
+
+    private void endTry(int request, boolean well) {
+        int p = proxy[request];
+        int b = backend[request];
+        out[request] = false;
+        routers[p].done(backends[b], well, now);
+        tallies[p].tried(backends[b], well, now - sentAt[request], List.of());
+        disconnect(p, b, well);
+    }
+
+    private void answered(int request, int its) {
+        if (stamp[request] != its) {
+            return;
+        }
+        endTry(request, true);
+        var spec = model.site().classes().get(cls[request]);
+        Outcome.ClassMet met = outcome.classes().get(cls[request]);
+        long took = now - arrivedAt[request];
+        if (took <= spec.aim()) {
+            met.good++;
+            good[second(arrivedAt[request])] += spec.worth();
+        } else {
+            met.late++;
+            good[second(arrivedAt[request])] += spec.worth() * spec.lateWorth();
+        }
+        met.latency.recordValue(Math.min(took / 1000, met.latency.getHighestTrackableValue()));
+        release(request);
+    }
+
+    private void refused(int request, int its) {
+        follow(request, its, true);
+    }
+
+    private void lostTry(int request, int its) {
+        follow(request, its, false);
+    }
+
+    private void follow(int request, int its, boolean neverRan) {
+        if (stamp[request] != its) {
+            return;
+        }
+        endTry(request, false);
+        long left = arrivedAt[request] + model.site().classes().get(cls[request]).deadline() - now;
+        if (routers[proxy[request]].mayFollow(cls[request], proxyTries[request], neverRan, left)) {
+            triedFirst[request] = backend[request];
+            atProxy(request, its);
+        } else {
+            tallies[proxy[request]].unanswered(cls[request]);
+            tryFailed(request, neverRan);
+        }
+    }
+
+    private void report(int p) {
+        int c = joinedTo[p];
+        if (c >= 0 && !cut[p]) {
+            Frame.Report report = tallies[p].report(now);
+            if (!report.tallies().isEmpty() || !report.uses().isEmpty()) {
+                agenda.add(now + model.sameZone(), HEARD, p, parcel(withLoad(report)));
+            }
+        }
+        if (idle != null) {
+            dropIdle(p);
+        }
+        if (now < loadFrom() + model.length() + TAIL) {
+            agenda.add(now + model.site().period(), REPORT, p, 0);
+        }
+    }
+
+    /** Load figures ride with answers: the newest at the time of the report stands for them. */
+    private Frame.Report withLoad(Frame.Report report) {
+        if (model.site().columns().isEmpty()) {
+            return report;
+        }
+        return new Frame.Report(report.tallies().stream().map(t -> new Frame.Tally(t.backend(), t.tries(),
+                t.failed(), t.latencySum(), t.span(), t.tries() == t.failed() ? List.of()
+                        : load((int) (t.backend().id() >> 16 & 0xffffff)))).toList(), report.uses());
+    }
+
+    private void dropIdle(int p) {
+        for (int b = 0; b < stations.length; b++) {
+            int place = p * stations.length + b;
+            if (idle[place] > 0 && (now - idleAt[place] > CONNECTION_IDLE || !routers[p].uses(backends[b]))) {
+                connections[b] -= idle[place];
+                idle[place] = 0;
+            }
+        }
+    }
+
+    // ---- backends ------------------------------------------------------------------------------------
+
+    private void atBackend(int request, int its) {
+        if (stamp[request] != its) {
+            return;
+        }
+        int b = backend[request];
+        Station station = stations[b];
+        long back = now + way(proxy[request], b);
+        if (station.isDown()) {
+            agenda.add(back, REFUSED, request, its);
+            return;
+        }
+        int job = takeJob(request, its);
+        if (!station.offer(now, job, work[request])) {
+            freeJobs[freeJobCount++] = job;
+            outcome.backends().get(b).full++;
+            agenda.add(back, REFUSED, request, its);
+            return;
+        }
+        jobOf[request] = job;
+        plan(b);
+    }
+
+    private int takeJob(int request, int its) {
+        if (freeJobCount == 0 && usedJobs == jobRequest.length) {
+            int room = 2 * usedJobs;
+            jobRequest = Arrays.copyOf(jobRequest, room);
+            jobStamp = Arrays.copyOf(jobStamp, room);
+            jobReached = Arrays.copyOf(jobReached, room);
+            jobWork = Arrays.copyOf(jobWork, room);
+            freeJobs = Arrays.copyOf(freeJobs, room);
+        }
+        int job = freeJobCount > 0 ? freeJobs[--freeJobCount] : usedJobs++;
+        jobRequest[job] = request;
+        jobStamp[job] = its;
+        jobReached[job] = now;
+        jobWork[job] = work[request];
+        return job;
+    }
+
+    private void plan(int b) {
+        long next = stations[b].nextAt();
+        if (next != Long.MAX_VALUE) {
+            agenda.add(next, STATION, b, stations[b].restamp());
+        }
+    }
+
+    private void look(int b, int its) {
+        Station station = stations[b];
+        if (station.stamp() != its) {
+            return;
+        }
+        for (int job = station.ended(now); job >= 0; job = station.ended(now)) {
+            outcome.backends().get(b).served++;
+            int request = jobRequest[job];
+            agenda.add(now + way(proxy[request], b), DONE, request, jobStamp[job]);
+            left(job);
+            for (int next = station.pollWaiting(); next >= 0; next = station.pollWaiting()) {
+                station.beginWaited(next, jobWork[next]);
+            }
+        }
+        plan(b);
+    }
+
+    /** A job is over, one way or the other. */
+    private void left(int job) {
+        double stay = (now - jobReached[job]) / SECOND;
+        stays += stay;
+        Outcome.ClassMet met = outcome.classes().get(cls[jobRequest[job]]);
+        met.stay += stay;
+        met.stays++;
+        freeJobs[freeJobCount++] = job;
+    }
+
+    private List<Double> load(int b) {
+        Station station = stations[b];
+        if (now - busyAt[b] > 300 * MILLI) {
+            double busy = station.busySeconds(now);
+            busyPart[b] = Math.min(1, (busy - busyBefore[b]) / ((now - busyAt[b]) / SECOND)
+                    / station.machine().cores());
+            busyBefore[b] = busy;
+            busyAt[b] = now;
+        }
+        List<Double> figures = new ArrayList<>();
+        for (String column : model.site().columns()) {
+            figures.add(switch (column) {
+                case "queue" -> (double) station.waiting();
+                case "inflight" -> (double) station.held();
+                case "busy" -> busyPart[b];
+                default -> 0.0;
+            });
+        }
+        return figures;
+    }
+
+    // ---- controllers ---------------------------------------------------------------------------------
+
+    private int parcel(Object object) {
+        if (freeParcels.isEmpty()) {
+            parcels.add(object);
+            return parcels.size() - 1;
+        }
+        int place = freeParcels.remove(freeParcels.size() - 1);
+        parcels.set(place, object);
+        return place;
+    }
+
+    private Object open(int place) {
+        freeParcels.add(place);
+        return parcels.set(place, null);
+    }
+
+    /** A message under way to a proxy's stream. */
+    private record Sent(int stream, Frame frame) { }
+
+    private final class Surroundings implements Driver.Outside {
+        private final int rank;
+
+        Surroundings(int rank) {
+            this.rank = rank;
+        }
+
+        @Override
+        public void watch(boolean on) {
+            agenda.add(now + 2 * model.sameZone(), NOTICED, rank, 0);
+        }
+
+        @Override
+        public void fetch() {
+            agenda.add(now + 2 * model.sameZone(), NOTICED, rank, 0);
+        }
+
+        @Override
+        public void probe(Backend its) {
+            int b = (int) (its.id() >> 16 & 0xffffff);
+            agenda.add(now + 2 * model.sameZone(), PROBED, rank, b);
+        }
+
+        @Override
+        public void send(int p, Frame frame) {
+            long late = (long) (model.site().channel().late() * (0.5 + ways.nextDouble()));
+            lastMessage[p] = Math.max(lastMessage[p], now + late);
+            agenda.add(lastMessage[p], MESSAGE, p, parcel(new Sent(stream[p], frame)));
+        }
+
+        @Override
+        public void log(String text) { }
+
+        @Override
+        public void decided(long at, List<rowanmoor.ControlApi.Event> heard,
+                List<rowanmoor.ControlApi.Action> ordered, long took) {
+            outcome.controllers().get(rank).decisions++;
+        }
+    }
+
+    private void startController(int rank, long seed) {
+        drivers[rank] = new Driver(model.site().settings(drivers.length, rank,
+                model.controllerZones().get(rank)),
+                seed, ++epochs, now, new Surroundings(rank), () -> 0);
+        drivers[rank].hearList(new Members(ListKind.CACHED, version, List.of()));
+        dead[rank] = false;
+        tickAt[rank] = Long.MAX_VALUE;
+        tickBy(rank, now);
+    }
+
+    private void settle(int rank) {
+        Outcome.ControllerMet met = outcome.controllers().get(rank);
+        met.mostLines = Math.max(met.mostLines, drivers[rank].mostWaitingLines());
+        met.lines += drivers[rank].totalLines();
+        met.mostReports = Math.max(met.mostReports, drivers[rank].mostWaitingReports());
+    }
+
+    private void tickBy(int rank, long time) {
+        long at = Math.max(time, lastTick[rank] + TICK_GAP);
+        if (!dead[rank] && at < tickAt[rank]) {
+            tickAt[rank] = at;
+            agenda.add(at, TICK, rank, (int) epochs);
+        }
+    }
+
+    private void tick(int rank, int epoch) {
+        if (dead[rank] || tickAt[rank] != now) {
+            return; // an earlier tick took its place, or its process is gone
+        }
+        tickAt[rank] = Long.MAX_VALUE;
+        lastTick[rank] = now;
+        drivers[rank].tick(now);
+        long next = drivers[rank].nextAt();
+        if (next != Long.MAX_VALUE) {
+            tickBy(rank, Math.max(next, now));
+        }
+    }
+
+    /** A proxy calls a controller, or the next one if that is gone. */
+    private void join(int p, int rank) {
+        if (joinedTo[p] >= 0) {
+            return;
+        }
+        if (dead[rank] || cut[p]) {
+            agenda.add(now + (long) (REDIAL * (0.5 + ways.nextDouble())), JOIN, p,
+                    (rank + 1) % drivers.length);
+            return;
+        }
+        joinedTo[p] = rank;
+        stream[p]++;
+        lastMessage[p] = now;
+        boolean fresh = routers[p].fresh();
+        routers[p].streamBegins();
+        double rate = model.rate() * model.proxyWeights()[p] / proxySums[proxySums.length - 1];
+        drivers[rank].joined(now, new Frame.Hello(Frame.PROTOCOL, p, p, model.proxyZones()[p], rate, fresh,
+                routers[p].epoch(), routers[p].version(), "p"));
+        tickBy(rank, now);
+    }
+
+    private void message(int p, int place) {
+        Sent sent = (Sent) open(place);
+        if (sent.stream() != stream[p] || joinedTo[p] < 0 || cut[p]) {
+            return; // lost with its stream
+        }
+        if (sent.frame() instanceof Frame.Snapshot snapshot) {
+            routers[p].heed(snapshot);
+        } else if (sent.frame() instanceof Frame.Update update
+                && routers[p].heed(update) == Router.Heed.DONE) {
+            for (Frame.Order order : update.orders()) {
+                if (order instanceof Frame.Mark mark) {
+                    agenda.add(now + model.sameZone(), HEARD, p, parcel(new Frame.Applied(update.epoch(),
+                            update.version(), mark.number())));
+                }
+            }
+        }
+    }
+
+    private void heard(int p, int place) {
+        Frame frame = (Frame) open(place);
+        int rank = joinedTo[p];
+        if (rank < 0 || dead[rank]) {
+            return;
+        }
+        if (frame instanceof Frame.Applied applied) {
+            drivers[rank].applied(now, p, applied);
+        } else if (frame instanceof Frame.Report report) {
+            drivers[rank].report(p, report);
+        }
+        tickBy(rank, now);
+    }
+
+    private void probed(int rank, int b) {
+        if (!dead[rank]) {
+            boolean up = !stations[b].isDown();
+            drivers[rank].hearProbe(new Probed(backends[b], up, up ? 10 : 50, 2 * model.sameZone(),
+                    up ? load(b) : List.of()));
+            tickBy(rank, now);
+        }
+    }
+
+    /** A controller asks the roster, or hears of a change. */
+    private void noticed(int rank) {
+        if (dead[rank]) {
+            return;
+        }
+        if (rosterDown) {
+            drivers[rank].hearList(new Members(ListKind.FAILED, version, List.of()));
+        } else {
+            List<Member> members = new ArrayList<>();
+            for (int b = 0; b < backends.length; b++) {
+                Model.Machine m = model.machines().get(b);
+                if (listed[b] != Listed.GONE) {
+                    members.add(new Member(backends[b], m.zone(), m.kind(), 0, listed[b], m.weight(),
+                            startedAt[b]));
+                }
+            }
+            drivers[rank].hearList(new Members(ListKind.FULL, version, members));
+        }
+        tickBy(rank, now);
+    }
+
+    // ---- troubles ------------------------------------------------------------------------------------
+
+    private void begin(int number) {
+        Model.Trouble t = model.troubles().get(number);
+        agenda.add(now + t.length(), RELIEF, number, 0);
+        switch (t.kind()) {
+            case BACKENDS_DIE -> {
+                for (int b : t.struck()) {
+                    die(b);
+                }
+                tellAfterNotice(number, Listed.GONE);
+            }
+            case BACKENDS_SLOW -> {
+                for (int b : t.struck()) {
+                    stations[b].slower(now, t.size());
+                    plan(b);
+                }
+            }
+            case CONTROLLER_DIES -> {
+                int rank = t.struck()[0];
+                settle(rank);
+                dead[rank] = true;
+                for (int p = 0; p < joinedTo.length; p++) {
+                    if (joinedTo[p] == rank) {
+                        breakStream(p, (rank + 1) % drivers.length, 0);
+                    }
+                }
+            }
+            case ROSTER_DOWN -> rosterDown = true;
+            case PROXIES_CUT -> {
+                for (int p : t.struck()) {
+                    cut[p] = true;
+                    if (joinedTo[p] >= 0) {
+                        breakStream(p, joinedTo[p], SILENCE);
+                    }
+                }
+            }
+            case BURST -> burst = t.size();
+            default -> throw new IllegalStateException("no way to play " + t.kind());
+        }
+    }
+
+    private void breakStream(int p, int next, long notice) {
+        int rank = joinedTo[p];
+        joinedTo[p] = -1;
+        if (!dead[rank]) {
+            drivers[rank].left(p);
+            tickBy(rank, now);
+        }
+        agenda.add(now + notice + (long) (REDIAL * (0.5 + ways.nextDouble())), JOIN, p, next);
+    }
+
+    private void die(int b) {
+        for (int job = stations[b].loseOne(now); job >= 0; job = stations[b].loseOne(now)) {
+            int request = jobRequest[job];
+            agenda.add(now + way(proxy[request], b), LOST, request, jobStamp[job]);
+            left(job);
+        }
+        stations[b].restamp();
+    }
+
+    private void tellAfterNotice(int number, Listed state) {
+        Model.Trouble t = model.troubles().get(number);
+        for (int b : t.struck()) {
+            listed[b] = state; // takes effect for controllers when they are told
+        }
+        version++;
+        for (int c = 0; c < drivers.length; c++) {
+            agenda.add(now + model.notice(), NOTICED, c, 0);
+        }
+    }
+
+    private void relieve(int number) {
+        Model.Trouble t = model.troubles().get(number);
+        switch (t.kind()) {
+            case BACKENDS_DIE -> {
+                for (int b : t.struck()) {
+                    stations[b].restart(now);
+                    startedAt[b] = now;
+                }
+                tellAfterNotice(number, Listed.READY);
+            }
+            case BACKENDS_SLOW -> {
+                for (int b : t.struck()) {
+                    stations[b].slower(now, 1);
+                    plan(b);
+                }
+            }
+            case CONTROLLER_DIES -> startController(t.struck()[0], number);
+            case ROSTER_DOWN -> rosterDown = false;
+            case PROXIES_CUT -> {
+                for (int p : t.struck()) {
+                    cut[p] = false;
+                }
+            }
+            case BURST -> burst = 1;
+            default -> throw new IllegalStateException("no way to end " + t.kind());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/emulator/Outcome.java
@@ -0,0 +1,85 @@
+package rowanmoor.emulator;
+
+import java.util.List;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What a run came to.
+ *
+ * @param classes by class
+ * @param backends by backend
+ * @param controllers by rank
+ * @param goodBySecond worth answered in time, by the second of arrival
+ * @param askedBySecond worth asked for, by the second of arrival
+ * @param littleOff how far held time is off the sum of stays, as a part of it: Little's law on this run
+ * @param events how many events were played
+ */
+public record Outcome(List<ClassMet> classes, List<BackendMet> backends, List<ControllerMet> controllers,
+        double[] goodBySecond, double[] askedBySecond, double littleOff, long events) {
+
+    /** Requests of one class. Refusals count tries: by level, for want of a line. */
+    public static final class ClassMet {
+        public long offered;
+        public long good;
+        public long late;
+        public long failed;
+        public long tries;
+        public long byLevel;
+        public long noLine;
+        /** Microseconds of answered requests, from arrival. */
+        public final Histogram latency = new Histogram(3_600_000_000L, 2);
+        /** Summed time between reaching a backend and leaving it, and how many. */
+        public double stay;
+        public long stays;
+    }
+
+    /** One backend: part of its cores' time in use, the longest queue, refusals and losses. */
+    public static final class BackendMet {
+        public double busy;
+        public int mostWaiting;
+        public long full;
+        public long noConnection;
+        public long served;
+        public int mostConnections;
+    }
+
+    /** One controller. */
+    public static final class ControllerMet {
+        public double mostLines;
+        public double lines;
+        public int mostReports;
+        public long decisions;
+    }
+
+    /** Worth answered in time over worth asked for; 1 if nothing was. */
+    public double service() {
+        double good = 0;
+        double asked = 0;
+        for (int s = 0; s < goodBySecond.length; s++) {
+            good += goodBySecond[s];
+            asked += askedBySecond[s];
+        }
+        return asked == 0 ? 1 : good / asked;
+    }
+
+    /** The same over the worst stretch of so many seconds. */
+    public double worst(int seconds) {
+        double worst = 1;
+        for (int from = 0; from + seconds <= goodBySecond.length; from++) {
+            double good = 0;
+            double asked = 0;
+            for (int s = from; s < from + seconds; s++) {
+                good += goodBySecond[s];
+                asked += askedBySecond[s];
+            }
+            worst = asked == 0 ? worst : Math.min(worst, good / asked);
+        }
+        return worst;
+    }
+
+    /** Service of one class: answered in time over offered. */
+    public double service(int cls) {
+        ClassMet met = classes.get(cls);
+        return met.offered == 0 ? 1 : met.good / (double) met.offered;
+    }
+}
--- a/src/main/java/rowanmoor/lab/DayFile.java
+++ b/src/main/java/rowanmoor/lab/DayFile.java
@@ -30,8 +30,9 @@
         double rate, double swing, long swingOver, double[] shares, double[] work, Clients.Habits habits,
         List<Trouble> troubles, Map<String, Double> expectations) {
 
-    /** Backends of one kind. */
-    public record Group(int kind, int count, double weight, int connections, BackendModel.Spec spec) { }
+    /** Backends of one kind, in one zone or (-1) spread over all. */
+    public record Group(int kind, int zone, int count, double weight, int connections,
+            BackendModel.Spec spec) { }
 
     private static final String WHOLE = "service";
 
@@ -106,7 +107,11 @@
                 b.number("cold-from", 0.01, 1, 1), b.duration("cold", "0s", "10min", "0s"),
                 b.number("fall-multiple", 1, 1e6, site.rules().fallMultiple()),
                 b.duration("fall-span", "100ms", "60s", site.rules().fallSpan() / 1_000_000 + "ms"));
-        Group group = new Group(Math.max(0, kind), b.whole("count", 1, 10000),
+        int zone = b.has("zone") ? site.zones().indexOf(b.text("zone")) : -1;
+        if (b.has("zone") && zone < 0) {
+            b.problem("zone", "is not a zone of the site");
+        }
+        Group group = new Group(Math.max(0, kind), zone, b.whole("count", 1, 10000),
                 b.number("weight", 0.001, 1e6, 1), b.whole("connections", 1, 100000, 1000), spec);
         b.finish();
         return group;
--- a/src/main/java/rowanmoor/lab/Ground.java
+++ b/src/main/java/rowanmoor/lab/Ground.java
@@ -98,7 +98,8 @@
             for (int i = 0; i < group.count(); i++) {
                 BackendServer server = new BackendServer(stage, anyPort(), group.spec(), group.connections(),
                         random.split(), ledger);
-                int zone = number++ % day.site().zones().size();
+                int spread = number++ % day.site().zones().size();
+                int zone = group.zone() >= 0 ? group.zone() : spread;
                 backends.add(server);
                 places.put(server.backend(), new Evidence.Place(zone, group.kind()));
                 roster.put(new RosterServer.Instance(server.backend(), day.site().zones().get(zone),
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/Models.java
@@ -0,0 +1,85 @@
+package rowanmoor.lab;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import rowanmoor.emulator.Model;
+
+/** A day file as a model for the emulator; what the emulator cannot play is named. */
+public final class Models {
+
+    private static final long MILLI = 1_000_000L;
+
+    private Models() { }
+
+    /** A model, and a line for each trouble that was left out. */
+    public record Modelled(Model model, List<String> leftOut) { }
+
+    /** The day with its troubles; victims are drawn from the seed. */
+    public static Modelled of(DayFile day, long seed) {
+        int zones = day.site().zones().size();
+        List<Model.Machine> machines = new ArrayList<>();
+        int number = 0;
+        for (DayFile.Group group : day.groups()) {
+            for (int i = 0; i < group.count(); i++) {
+                int zone = group.zone() >= 0 ? group.zone() : number % zones;
+                number++;
+                var spec = group.spec();
+                machines.add(new Model.Machine(zone, group.kind(), group.weight(), spec.cores(), spec.speed(),
+                        spec.slots(), spec.queue(), group.connections(), spec.coldFrom(), spec.coldFor()));
+            }
+        }
+        Random random = new Random(day.seed() * 1_000_003 + 3);
+        double[] weights = IntStream.range(0, day.proxies()).mapToDouble(i -> Math.exp(day.proxySkew()
+                * random.nextGaussian())).toArray();
+        int[] proxyZones = IntStream.range(0, day.proxies()).map(p -> p % zones).toArray();
+        double[] cv = new double[day.shares().length];
+        Arrays.fill(cv, 1);
+        List<String> leftOut = new ArrayList<>();
+        List<Model.Trouble> troubles = new ArrayList<>();
+        Random victims = new Random(seed);
+        for (Trouble t : day.troubles()) {
+            Model.Trouble its = trouble(t, machines, proxyZones, victims);
+            if (its == null) {
+                leftOut.add(t.kind().word() + ": the emulator does not play it");
+            } else {
+                troubles.add(its);
+            }
+        }
+        return new Modelled(new Model(day.site(), day.settle(), day.length(), day.controllerZones(),
+                proxyZones,
+                weights, List.copyOf(machines), day.notice(), MILLI / 5, MILLI, day.rate(), day.shares(),
+                day.work(), cv, day.habits().retries(), day.habits().backoff(), day.habits().tryShare(),
+                List.copyOf(troubles)), List.copyOf(leftOut));
+    }
+
+    private static Model.Trouble trouble(Trouble t, List<Model.Machine> machines, int[] proxyZones,
+            Random random) {
+        int[] all = IntStream.range(0, machines.size()).toArray();
+        int[] zone = Arrays.stream(all).filter(b -> machines.get(b).zone() == t.zone()).toArray();
+        int[] proxies = IntStream.range(0, proxyZones.length).toArray();
+        return switch (t.kind()) {
+            case CRASH -> made(Model.Kind.BACKENDS_DIE, t, sample(all, t.part(), random));
+            case ZONE_LOSS -> made(Model.Kind.BACKENDS_DIE, t, zone);
+            case SLOW -> made(Model.Kind.BACKENDS_SLOW, t, sample(all, t.part(), random));
+            case CONTROLLER_KILL -> made(Model.Kind.CONTROLLER_DIES, t, new int[] {t.controller()});
+            case ROSTER_DOWN -> made(Model.Kind.ROSTER_DOWN, t, new int[0]);
+            case PROXIES_CUT -> made(Model.Kind.PROXIES_CUT, t, sample(proxies, t.part(), random));
+            case BURST -> made(Model.Kind.BURST, t, new int[0]);
+            default -> null;
+        };
+    }
+
+    private static Model.Trouble made(Model.Kind kind, Trouble t, int[] struck) {
+        return new Model.Trouble(kind, t.at(), t.length(), struck, t.size());
+    }
+
+    private static int[] sample(int[] all, double part, Random random) {
+        List<Integer> mixed = new ArrayList<>(Arrays.stream(all).boxed().toList());
+        java.util.Collections.shuffle(mixed, random);
+        return mixed.stream().limit(Math.max(1,
+                Math.round(part * all.length))).mapToInt(i -> i).sorted().toArray();
+    }
+}
--- a/src/main/java/rowanmoor/proxy/Router.java
+++ b/src/main/java/rowanmoor/proxy/Router.java
@@ -1,10 +1,8 @@
 package rowanmoor.proxy;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -69,7 +67,7 @@
     private final TreeMap<Backend, Path> paths = new TreeMap<>();
     private final double[] credit;
     private final long[] creditAt;
-    private final TreeMap<Backend, Double> turn = new TreeMap<>();
+    private final Choices[] choices;
     private long epoch;
     private long version;
     private boolean inStep;
@@ -85,6 +83,7 @@
         this.held = new Table[classes];
         Arrays.fill(held, standing);
         this.overall = new Frame.Level[classes];
+        this.choices = new Choices[classes];
         this.credit = new double[classes];
         this.creditAt = new long[classes];
         Arrays.fill(creditAt, now);
@@ -115,6 +114,7 @@
 
     /** Takes a snapshot in. */
     public void heed(Frame.Snapshot snapshot) {
+        Arrays.fill(choices, null);
         epoch = snapshot.epoch();
         version = snapshot.version();
         inStep = true;
@@ -142,6 +142,7 @@
             return Heed.GAP;
         }
         version = update.version();
+        Arrays.fill(choices, null);
         update.orders().forEach(this::heed);
         return Heed.DONE;
     }
@@ -216,9 +217,8 @@
     /** Whether a request of a class is let in now; one that is not must be refused at once. */
     public boolean admits(int cls, long now) {
         double level = Double.POSITIVE_INFINITY;
-        for (Frame.Level one : new Frame.Level[] {overall[cls], held[cls].levels[cls]}) {
-            level = one == null ? level : Math.min(level, one.level());
-        }
+        level = overall[cls] == null ? level : Math.min(level, overall[cls].level());
+        level = held[cls].levels[cls] == null ? level : Math.min(level, held[cls].levels[cls].level());
         if (site.admission() == Admission.OFF || Double.isInfinite(level)) {
             return true;
         }
@@ -235,57 +235,98 @@
         return true;
     }
 
+    /** A class's lines that are not withdrawn, laid out so that a pick allocates nothing. */
+    private static final class Choices {
+        private final Backend[] backends;
+        private final double[] weights;
+        private final Path[] paths;
+        private final double[] turns;
+
+        Choices(int count) {
+            backends = new Backend[count];
+            weights = new double[count];
+            paths = new Path[count];
+            turns = new double[count];
+        }
+
+        /** Whether a line may be picked; {@code openOnly} leaves shunned backends out. */
+        boolean fits(int i, Set<Backend> tried, long now, boolean openOnly) {
+            return !(openOnly && paths[i].shunnedUntil > now) && (tried.isEmpty()
+                    || !tried.contains(backends[i]));
+        }
+    }
+
+    private Choices choices(int cls) {
+        if (choices[cls] == null) {
+            List<Backend> open = held[cls].lines.keySet().stream().filter(b -> !withdrawn.contains(b))
+                    .toList();
+            Choices made = new Choices(open.size());
+            for (int i = 0; i < open.size(); i++) {
+                made.backends[i] = open.get(i);
+                made.weights[i] = held[cls].lines.get(open.get(i));
+                made.paths[i] = path(open.get(i));
+            }
+            choices[cls] = made;
+        }
+        return choices[cls];
+    }
+
     /** The backend for a try, or null if the table has none that was not tried; shunned ones come last. */
     public Backend pick(int cls, Set<Backend> tried, long now) {
-        List<Backend> open = new ArrayList<>();
-        List<Backend> shunned = new ArrayList<>();
-        for (Backend backend : held[cls].lines.keySet()) {
-            if (!withdrawn.contains(backend) && !tried.contains(backend)) {
-                boolean shuns = path(backend).shunnedUntil > now;
-                (shuns ? shunned : open).add(backend);
-            }
+        Choices all = choices(cls);
+        boolean openOnly = true;
+        double sum = sum(all, tried, now, true);
+        if (sum <= 0) {
+            openOnly = false;
+            sum = sum(all, tried, now, false);
         }
-        List<Backend> from = open.isEmpty() ? shunned : open;
-        if (from.isEmpty()) {
+        if (sum <= 0) {
             return null;
         }
-        Map<Backend, Double> weights = held[cls].lines;
-        return switch (site.choice()) {
-            case WEIGHTED -> draw(from, weights);
-            case TWO -> lessOut(draw(from, weights), draw(from, weights));
-            case ROUND -> next(from, weights);
-        };
+        if (site.choice() == Site.Choice.ROUND) {
+            return all.backends[next(all, tried, now, openOnly, sum)];
+        }
+        int one = draw(all, tried, now, openOnly, sum);
+        if (site.choice() == Site.Choice.TWO) {
+            int other = draw(all, tried, now, openOnly, sum);
+            one = all.paths[other].out < all.paths[one].out ? other : one;
+        }
+        return all.backends[one];
     }
 
-    private Backend draw(List<Backend> from, Map<Backend, Double> weights) {
-        double sum = from.stream().mapToDouble(weights::get).sum();
-        double at = random.nextDouble() * sum;
-        for (Backend backend : from) {
-            at -= weights.get(backend);
-            if (at < 0) {
-                return backend;
-            }
+    private static double sum(Choices all, Set<Backend> tried, long now, boolean openOnly) {
+        double sum = 0;
+        for (int i = 0; i < all.backends.length; i++) {
+            sum += all.fits(i, tried, now, openOnly) ? all.weights[i] : 0;
         }
-        return from.get(from.size() - 1);
+        return sum;
     }
 
-    private Backend lessOut(Backend one, Backend other) {
-        return path(other).out < path(one).out ? other : one;
+    private int draw(Choices all, Set<Backend> tried, long now, boolean openOnly, double sum) {
+        double at = random.nextDouble() * sum;
+        int last = -1;
+        for (int i = 0; i < all.backends.length; i++) {
+            if (all.fits(i, tried, now, openOnly)) {
+                last = i;
+                at -= all.weights[i];
+                if (at < 0) {
+                    return i;
+                }
+            }
+        }
+        return last;
     }
 
     /** Smooth weighted turns: each gains its weight, the richest is picked and pays the sum. */
-    private Backend next(List<Backend> from, Map<Backend, Double> weights) {
-        turn.keySet().retainAll(weights.keySet());
-        double sum = 0;
-        Backend best = null;
-        for (Backend backend : from) {
-            sum += weights.get(backend);
-            turn.merge(backend, weights.get(backend), Double::sum);
-            if (best == null || turn.get(backend) > turn.get(best)) {
-                best = backend;
+    private static int next(Choices all, Set<Backend> tried, long now, boolean openOnly, double sum) {
+        int best = -1;
+        for (int i = 0; i < all.backends.length; i++) {
+            if (all.fits(i, tried, now, openOnly)) {
+                all.turns[i] += all.weights[i];
+                best = best < 0 || all.turns[i] > all.turns[best] ? i : best;
             }
         }
-        turn.merge(best, -sum, Double::sum);
+        all.turns[best] -= sum;
         return best;
     }
 
--- a/src/main/java/rowanmoor/proxy/Tallies.java
+++ b/src/main/java/rowanmoor/proxy/Tallies.java
@@ -7,7 +7,7 @@
 import rowanmoor.channel.Frame;
 
 /** Counts what a proxy meets, from one report to the next. */
-final class Tallies {
+public final class Tallies {
 
     private static final class Sum {
         private long count;
@@ -20,12 +20,12 @@
     private final TreeMap<Integer, Sum> uses = new TreeMap<>();
     private long since;
 
-    Tallies(long now) {
+    public Tallies(long now) {
         since = now;
     }
 
     /** A try is over; {@code load} is what its answer said of the backend's load, or empty. */
-    void tried(Backend backend, boolean good, long latency, List<Double> load) {
+    public void tried(Backend backend, boolean good, long latency, List<Double> load) {
         Sum sum = tries.computeIfAbsent(backend, b -> new Sum());
         sum.count++;
         sum.failed += good ? 0 : 1;
@@ -33,17 +33,17 @@
         sum.load = load.isEmpty() ? sum.load : load;
     }
 
-    void came(int cls) {
+    public void came(int cls) {
         uses.computeIfAbsent(cls, c -> new Sum()).count++;
     }
 
     /** A request that was let in got no answer. */
-    void unanswered(int cls) {
+    public void unanswered(int cls) {
         uses.computeIfAbsent(cls, c -> new Sum()).failed++;
     }
 
     /** All since the last report, which this ends; without entries if nothing came. */
-    Frame.Report report(long now) {
+    public Frame.Report report(long now) {
         long span = now - since;
         since = now;
         List<Frame.Tally> tallies = new ArrayList<>();
--- a/src/test/java/rowanmoor/ArchitectureTest.java
+++ b/src/test/java/rowanmoor/ArchitectureTest.java
@@ -30,6 +30,7 @@
                 .layer("capture").definedBy("rowanmoor.capture")
                 .layer("controller").definedBy("rowanmoor.controller")
                 .layer("proxy").definedBy("rowanmoor.proxy")
+                .layer("emulator").definedBy("rowanmoor.emulator")
                 .layer("standin").definedBy("rowanmoor.standin")
                 .layer("lab").definedBy("rowanmoor.lab")
                 .layer("cli").definedBy("rowanmoor.cli")
@@ -48,6 +49,7 @@
                         "discovery")
                 .whereLayer("standin").mayOnlyAccessLayers("core", "config", "net", "http", "discovery",
                         "proxy")
+                .whereLayer("emulator").mayOnlyAccessLayers("core", "config", "channel", "controller", "proxy")
                 .whereLayer("lab").mayNotBeAccessedByAnyLayer()
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
                 .ignoreDependency(com.tngtech.archunit.base.DescribedPredicate.describe("the command line",
@@ -62,7 +64,7 @@
                 .haveSimpleName("Intake").or().haveSimpleName("Outbox").or().haveSimpleName("TableStore").or()
                 .haveSimpleName("RosterView").or().haveSimpleName("Router").or().haveSimpleName("Tallies").or()
                 .haveSimpleName("Redial").or().haveSimpleName("BackendModel").or().haveSimpleName("Judge").or()
-                .haveSimpleName("Mirror")
+                .haveSimpleName("Mirror").or().resideInAPackage("rowanmoor.emulator")
                 .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio.channels..",
                         "java.nio.file..", "java.net..", "rowanmoor.net..", "org.slf4j..")
                 .orShould().callMethod(System.class, "nanoTime")
--- /dev/null
+++ b/src/test/java/rowanmoor/emulator/EmulatorTest.java
@@ -0,0 +1,178 @@
+package rowanmoor.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rowanmoor.config.ConfigError;
+import rowanmoor.config.Section;
+import rowanmoor.config.Site;
+
+class EmulatorTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    private static Site site(String deadline, String admission) throws ConfigError {
+        return Site.of(Section.parse("test.kdl", """
+                site {
+                    zones "a" "b"
+                    kinds "k"
+                    class "read" { prefix "/r"; aim "%1$s"; deadline "%1$s"; effect "safe" }
+                    class "pay" { prefix "/p"; aim "%1$s"; deadline "%1$s"; worth 5; effect "unsafe"; write #true }
+                    probes #false
+                    choice "two"
+                    admission "%2$s"
+                    proxies 50
+                    intake "500/s"
+                    rules {
+                        bare "3s"; drain-grace "2s"; cold "10s"; cold-from 0.2; fall-multiple 4; fall-span "1.5s"
+                    }
+                    channel { pace "2000/s"; head 4; backlog 4000; late "20ms"; latest "200ms" }
+                }
+                """.formatted(deadline, admission)));
+    }
+
+    /** One proxy, one backend, no way between them: a queue as the books have it. */
+    private static Model queue(int cores, double rate, double work, double cv, long seconds) throws ConfigError {
+        return new Model(site("1h", "off"), SECOND, seconds * SECOND, List.of(0), new int[] {0}, new double[] {1},
+                List.of(new Model.Machine(0, 0, 1, cores, 1, cores, 1 << 30, 0, 1, 0)), SECOND, 0, 0, rate,
+                new double[] {1, 0}, new double[] {work, work}, new double[] {cv, cv}, 0, 0, 1, List.of());
+    }
+
+    /** Mean wait over three seeds. */
+    private static double meanWait(Model model, double work) {
+        double sum = 0;
+        for (int seed = 1; seed <= 3; seed++) {
+            Outcome outcome = Emulator.play(model, seed);
+            Outcome.ClassMet met = outcome.classes().get(0);
+            assertEquals(met.offered, met.stays);
+            assertTrue(outcome.littleOff() < 1e-9, "Little's law is off by " + outcome.littleOff());
+            sum += met.stay / met.stays - work;
+        }
+        return sum / 3;
+    }
+
+    /** Chance that an arrival waits in M/M/c (Erlang's C formula). */
+    private static double erlangC(int servers, double load) {
+        double inverse = 1;
+        for (int k = 1; k <= servers; k++) {
+            inverse = 1 + inverse * k / load; // 1 over Erlang B
+        }
+        double blocked = 1 / inverse;
+        return servers * blocked / (servers - load * (1 - blocked));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 0.5", "3, 0.7", "8, 0.8"})
+    void waitsInManyServersAreErlangs(int cores, double part) throws ConfigError {
+        double work = 0.1;
+        double rate = cores * part / work;
+        double expected = erlangC(cores, cores * part) * work / (cores * (1 - part));
+        double met = meanWait(queue(cores, rate, work, 1, (long) (400_000 / rate)), work);
+        assertEquals(expected, met, 0.03 * expected);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0.7", "0.5, 0.6", "1.5, 0.5"})
+    void waitsInOneServerArePollaczekAndKhinchines(double cv, double part) throws ConfigError {
+        double work = 0.05;
+        double expected = part * work * (1 + cv * cv) / 2 / (1 - part);
+        double met = meanWait(queue(1, part / work, work, cv, (long) (400_000 / (part / work))), work);
+        assertEquals(expected, met, 0.03 * expected);
+    }
+
+    private static Model fleet(double rate, List<Model.Trouble> troubles) throws ConfigError {
+        int[] zones = new int[20];
+        Arrays.setAll(zones, p -> p % 2);
+        double[] weights = new double[20];
+        Arrays.fill(weights, 1);
+        List<Model.Machine> machines = new java.util.ArrayList<>();
+        for (int b = 0; b < 10; b++) {
+            machines.add(new Model.Machine(b % 2, 0, 2, 2, 1, 4, 20, 200, 0.25, 8 * SECOND));
+        }
+        return new Model(site("2s", "rate"), 3 * SECOND, 40 * SECOND, List.of(0, 1), zones, weights, machines,
+                SECOND, 200_000, 1_000_000, rate, new double[] {0.6, 0.4}, new double[] {0.1, 0.1},
+                new double[] {1, 1}, 1, 100_000_000, 0.9, troubles);
+    }
+
+    @Test
+    void theSameSeedGivesTheSameOutcomeAndAnotherDoesNot() throws ConfigError {
+        List<Model.Trouble> troubles = List.of(new Model.Trouble(Model.Kind.BACKENDS_DIE, 5 * SECOND, 5 * SECOND,
+                new int[] {0, 1}, 1), new Model.Trouble(Model.Kind.CONTROLLER_DIES, 12 * SECOND, 3 * SECOND,
+                        new int[] {0}, 1));
+        Model model = fleet(120, troubles);
+        assertEquals(digest(Emulator.play(model, 3)), digest(Emulator.play(model, 3)));
+        assertTrue(!digest(Emulator.play(model, 3)).equals(digest(Emulator.play(model, 4))));
+    }
+
+    private static String digest(Outcome o) {
+        return o.events() + Arrays.toString(o.goodBySecond()) + o.classes().get(1).latency.getMean();
+    }
+
+    @Test
+    void aQuietFleetServesAllAndAnOverloadedOneShedsByLevel() throws ConfigError {
+        Outcome quiet = Emulator.play(fleet(100, List.of()), 1);
+        assertTrue(quiet.service() > 0.98, "service " + quiet.service());
+        assertTrue(quiet.backends().stream().allMatch(b -> b.busy > 0.2 && b.busy < 0.8));
+        Outcome over = Emulator.play(fleet(320, List.of()), 1);
+        assertTrue(over.classes().get(0).byLevel > 1000, "levels turned away " + over.classes().get(0).byLevel);
+        assertTrue(over.service(1) > over.service(0), "the worthier class is served first");
+        assertTrue(over.littleOff() < 1e-9);
+    }
+
+    @Test
+    void troublesAreFeltAndPass() throws ConfigError {
+        int[] all = {0, 2, 4, 6, 8};
+        for (Model.Trouble trouble : List.of(
+                new Model.Trouble(Model.Kind.BACKENDS_DIE, 8 * SECOND, 8 * SECOND, all, 1),
+                new Model.Trouble(Model.Kind.BACKENDS_SLOW, 8 * SECOND, 8 * SECOND, all, 6),
+                new Model.Trouble(Model.Kind.BURST, 8 * SECOND, 8 * SECOND, new int[0], 3))) {
+            Outcome outcome = Emulator.play(fleet(130, List.of(trouble)), 1);
+            double during = stretch(outcome, 8, 16);
+            double after = stretch(outcome, 30, 40);
+            assertTrue(during < after - 0.02, trouble.kind() + ": " + during + " during, " + after + " after");
+            assertTrue(after > 0.95, trouble.kind() + ": " + after + " after");
+        }
+        for (Model.Trouble trouble : List.of(
+                new Model.Trouble(Model.Kind.CONTROLLER_DIES, 8 * SECOND, 5 * SECOND, new int[] {0}, 1),
+                new Model.Trouble(Model.Kind.ROSTER_DOWN, 8 * SECOND, 8 * SECOND, new int[0], 1),
+                new Model.Trouble(Model.Kind.PROXIES_CUT, 8 * SECOND, 8 * SECOND, all, 1))) {
+            double service = Emulator.play(fleet(100, List.of(trouble)), 1).service();
+            assertTrue(service > 0.97, trouble.kind() + ": " + service);
+        }
+    }
+
+    private static double stretch(Outcome outcome, int from, int to) {
+        double good = 0;
+        double asked = 0;
+        for (int s = from; s < to; s++) {
+            good += outcome.goodBySecond()[s];
+            asked += outcome.askedBySecond()[s];
+        }
+        return good / asked;
+    }
+
+    @Test
+    void noLoadAndAFleetOfOneArePlayed() throws ConfigError {
+        Outcome nothing = Emulator.play(fleet(0, List.of()), 1);
+        assertEquals(0, nothing.classes().get(0).offered);
+        assertEquals(1.0, nothing.service());
+        Model one = fleet(10, List.of()).machines(Collections.nCopies(1, new Model.Machine(0, 0, 1, 2, 1, 4, 20,
+                200, 0.25, SECOND)));
+        assertTrue(Emulator.play(one, 1).service() > 0.95);
+    }
+
+    @Test
+    void aBackendTakesNoMoreConnectionsThanItsLimit() throws ConfigError {
+        Model few = fleet(200, List.of()).machines(Collections.nCopies(10, new Model.Machine(0, 0, 2, 2, 1, 40, 200,
+                12, 0.25, SECOND)));
+        Outcome outcome = Emulator.play(few, 1);
+        assertTrue(outcome.backends().stream().allMatch(b -> b.mostConnections <= 12));
+        assertTrue(outcome.backends().stream().anyMatch(b -> b.noConnection > 0));
+    }
+}
