Experiments: grids of rates, backends and seeds, resumable, with intervals and charts

Runs go over all cores on common seeds; results are kept in an embedded store under a hash of fleet, variant, seed and the deciding classes' code, so a rerun plays only what is new.

--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -26,6 +26,7 @@
 import rowanmoor.emulator.Outcome;
 import rowanmoor.lab.BenchDay;
 import rowanmoor.lab.DayFile;
+import rowanmoor.lab.Experiment;
 import rowanmoor.lab.Fuzz;
 import rowanmoor.lab.Models;
 import rowanmoor.lab.Played;
@@ -81,7 +82,7 @@
     }
 
     @Command(name = "check", description = "Reads settings and days, and tells everything that is wrong.")
-    int check(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files) {
+    int check(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files) throws IOException {
         List<String> problems = new ArrayList<>();
         for (Path file : files) {
             try {
@@ -96,7 +97,7 @@
         return problems.isEmpty() ? 0 : 1;
     }
 
-    private static String checkOne(Path file) throws ConfigError {
+    private static String checkOne(Path file) throws ConfigError, IOException {
         Section root = Section.read(file);
         if (root.has("day")) {
             DayFile.read(file);
@@ -110,6 +111,10 @@
             ProxyConfig.read(file);
             return "a proxy";
         }
+        if (root.has("experiment")) {
+            Experiment.read(file);
+            return "an experiment";
+        }
         if (root.has("site")) {
             Site.of(root);
             root.finish();
@@ -218,6 +223,29 @@
         return played.passed() ? 0 : 1;
     }
 
+    @Command(name = "experiment", description = "Plays a grid of rates, backends and seeds in the emulator.")
+    int experiment(@Parameters(paramLabel = "FILE") Path file,
+            @Option(names = "--store", defaultValue = "results.mv",
+                    description = "keeps results for reruns") Path
+                    store,
+            @Option(names = "--report", paramLabel = "DIR",
+                    description = "writes CSV and a chart") Path report)
+            throws ConfigError, IOException {
+        PrintWriter err = spec.commandLine().getErr();
+        Experiment.Grid grid = Experiment.read(file).run(store, line -> {
+            err.print("\r" + line);
+            err.flush();
+        });
+        err.println();
+        out().print(Experiment.table(grid));
+        out().flush();
+        if (report != null) {
+            System.setProperty("java.awt.headless", "true");
+            Experiment.write(grid, report);
+        }
+        return 0;
+    }
+
     @Command(name = "emulate", description = "Plays a day file in the emulator and tells what clients met.")
     int emulate(@Parameters(paramLabel = "FILE") Path file,
             @Option(names = "--seed", defaultValue = "1") long seed) throws ConfigError {
--- a/src/main/java/rowanmoor/config/Section.java
+++ b/src/main/java/rowanmoor/config/Section.java
@@ -283,6 +283,16 @@
                 plain(least) + "/s to " + plain(most) + "/s");
     }
 
+    /** All values of a key as rates a second; empty where it is left out. */
+    public List<Double> rates(String key, double least, double most) {
+        return many(key, false).stream().map(v -> rate(v, key, least, most, least)).toList();
+    }
+
+    /** All values of a key as whole numbers; empty where it is left out. */
+    public List<Integer> wholes(String key, int least, int most) {
+        return many(key, false).stream().map(v -> whole(v, key, least, most, least)).toList();
+    }
+
     /** An IPv4 address and port; port 0 lets the system choose. */
     public InetSocketAddress address(String key) {
         return address(one(key, true), key);
--- a/src/main/java/rowanmoor/plan/Planner.java
+++ b/src/main/java/rowanmoor/plan/Planner.java
@@ -138,12 +138,12 @@
         int low = 0;
         int high = Math.max(1, (int) Math.ceil(now * model.rate() * model.meanWork() / model.capacity()));
         double before = -1;
-        while (!holds(of(model, high), lost, seen())) {
-            double service = mean(of(model, high), seen());
+        while (!holds(sized(model, high), lost, seen())) {
+            double service = mean(sized(model, high), seen());
             // More backends that serve no better will not do: the limit is elsewhere.
             if (high >= BACKENDS_MOST || before >= 0 && service < before + 0.001 && high > 4 * now) {
-                Outcome at = play(of(model, high), seen().subList(0, 1)).get(0);
-                List<Finding> findings = Diagnosis.of(of(model, high), at);
+                Outcome at = play(sized(model, high), seen().subList(0, 1)).get(0);
+                List<Finding> findings = Diagnosis.of(sized(model, high), at);
                 return new Enough(-1, service, 0, played, String.format(Locale.ROOT,
                         "no number of backends does: with"
                         + " %d service is %.3f; short are %s (%s)", high, service, findings.get(0).resource(),
@@ -155,17 +155,18 @@
         }
         while (high - low > 1) {
             int middle = (low + high) / 2;
-            if (holds(of(model, middle), lost, seen())) {
+            if (holds(sized(model, middle), lost, seen())) {
                 high = middle;
             } else {
                 low = middle;
             }
         }
         // The search has fitted itself to its seeds: what it found must hold on others.
-        while (!holds(of(model, high), lost, fresh()) && high < BACKENDS_MOST) {
+        while (!holds(sized(model, high), lost, fresh()) && high < BACKENDS_MOST) {
             high++;
         }
-        return new Enough(high, mean(of(model, high), seen()), mean(of(model, high), fresh()), played, "");
+        return new Enough(high, mean(sized(model, high), seen()), mean(sized(model, high), fresh()), played,
+                "");
     }
 
     private boolean holds(Model model, List<java.util.function.Function<Model, List<Model.Trouble>>> lost,
@@ -182,7 +183,7 @@
     }
 
     /** So many backends, the kinds and zones in the same proportions as far as whole numbers allow. */
-    static Model of(Model model, int count) {
+    public static Model sized(Model model, int count) {
         List<Model.Machine> machines = new ArrayList<>();
         int have = model.machines().size();
         for (int i = 0; i < count; i++) {
