--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -123,11 +123,35 @@
         final TreeMap<Integer, ProxyState> users = new TreeMap<>();
         final Map<Integer, Double> levels = new TreeMap<>();
 
+        final Map<Backend, Integer> holders; // of its set: how many pools hold each backend
+
         double demand = 1; // as of the last laying of tables
 
         Pool(int table, int group) {
+            this(table, group, new TreeMap<>());
+        }
+
+        private Pool(int table, int group, Map<Backend, Integer> holders) {
             this.table = table;
             this.group = group;
+            this.holders = holders;
+        }
+
+        /** One more pool of the same set. */
+        Pool sibling(int itsTable) {
+            return new Pool(itsTable, group, holders);
+        }
+
+        void add(Backend backend) {
+            if (members.add(backend)) {
+                holders.merge(backend, 1, Integer::sum);
+            }
+        }
+
+        void remove(Backend backend) {
+            if (members.remove(backend)) {
+                holders.merge(backend, -1, Integer::sum);
+            }
         }
 
         List<ProxyState> bound() {
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -326,7 +326,7 @@
 
     /** How many pools of a set hold a backend. */
     private static long holding(Backend backend, List<Pool> set) {
-        return set.stream().filter(p -> p.members.contains(backend)).count();
+        return set.get(0).holders.getOrDefault(backend, 0);
     }
 
     /** A pool's members' part of the flows, shared with the pools that hold them too, over its demand. */
@@ -423,10 +423,10 @@
         Predicate<Backend> away = b -> region(backends.get(b).member.zone()) != region;
         long own = flows.keySet().stream().filter(away.negate()).count();
         while (flows.size() > POOL_MOST && set.size() < Math.min(most, own / POOL_LEAST)) {
-            set.add(new Pool(set.get(0).table + set.size(), set.get(0).group));
+            set.add(set.get(0).sibling(set.get(0).table + set.size()));
         }
         if (set.size() == 1) {
-            set.get(0).members.addAll(flows.keySet());
+            flows.keySet().forEach(set.get(0)::add);
             return;
         }
         flows.keySet().stream().filter(b -> flows.get(b) * flows.size() >= DEALT && holding(b, set) == 0)
@@ -452,10 +452,10 @@
 
     private static void seat(Pool pool, Backend backend, Map<Backend, Double> flows) {
         if (pool.members.size() >= POOL_MOST) {
-            pool.members.remove(Collections.min(pool.members,
+            pool.remove(Collections.min(pool.members,
                     Comparator.comparing(b -> flows.getOrDefault(b, 0.0))));
         }
-        pool.members.add(backend);
+        pool.add(backend);
     }
 
     /** A pool's lines: its members' flows, parted among the pools that hold them; little of any cold one. */
