Emulated load rises to its height; cores are measured there; errors unwrapped

A run that began at full load met controllers that knew nothing yet, and the plan blamed the waiting room. Errors of commands came wrapped in the library's own.

--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -58,7 +58,12 @@
     static CommandLine commandLine() {
         return new CommandLine(new Commands()).registerConverter(Fuzz.Target.class,
                 Commands::target).setExecutionExceptionHandler((e, line, parsed) -> {
-            line.getErr().println("rowanmoor: " + (e instanceof ConfigError ? e.getMessage() : e.toString()));
+            // What a command's method throws comes wrapped.
+            Throwable cause = e instanceof CommandLine.ExecutionException && e.getCause() != null ? e
+                    .getCause() : e;
+            line.getErr().println("rowanmoor: " + (cause instanceof ConfigError
+                    || cause instanceof IOException
+                    ? cause.getMessage() : cause.toString()));
             return 1;
         });
     }
--- a/src/main/java/rowanmoor/emulator/Emulator.java
+++ b/src/main/java/rowanmoor/emulator/Emulator.java
@@ -42,6 +42,7 @@
     private static final int RELIEF = 15;
     private static final int NOTICED = 16;
     private static final int JOIN = 17;
+    private static final int MEASURE = 18;
 
     private static final long START = 1_000_000_000_000_000L;
     private static final long MILLI = 1_000_000L;
@@ -50,6 +51,8 @@
     private static final long REDIAL = 300 * MILLI;
     private static final long SILENCE = 3000 * MILLI;
     private static final long CONNECTION_IDLE = 15_000 * MILLI;
+    private static final double RAMP = 7000.0 * MILLI;
+    private static final double RAMP_FROM = 0.3;
     private static final int MATRIX_MOST = 8_000_000;
     private static final long TAIL = 30_000 * MILLI;
 
@@ -76,6 +79,8 @@
     private final double[] busyBefore;
     private final double[] busyPart;
     private final double[] proxySums;
+    private final double[] busyAtHeight;
+    private long heightFrom;
     private final List<Object> parcels = new ArrayList<>();
     private final List<Integer> freeParcels = new ArrayList<>();
     private final Outcome outcome;
@@ -143,6 +148,7 @@
         Arrays.fill(busyAt, START);
         this.busyBefore = new double[count];
         this.busyPart = new double[count];
+        this.busyAtHeight = new double[count];
         this.connections = new int[count];
         boolean bounded = model.machines().stream().anyMatch(m -> m.connections() > 0);
         boolean counted = bounded && (long) proxies * count <= MATRIX_MOST;
@@ -187,6 +193,8 @@
             agenda.add(loadFrom() + model.troubles().get(t).at(), TROUBLE, t, 0);
         }
         agenda.add(loadFrom(), ARRIVAL, 0, 0);
+        agenda.add(loadFrom() + (model.length() > 2 * RAMP ? (long) RAMP : 0), MEASURE, 0, 0);
+        agenda.add(loadFrom() + model.length(), MEASURE, 1, 0);
     }
 
     private static <T> List<T> list(int count, java.util.function.Supplier<T> make) {
@@ -235,8 +243,6 @@
         double held = 0;
         for (int b = 0; b < stations.length; b++) {
             Outcome.BackendMet met = outcome.backends().get(b);
-            met.busy = stations[b].busySeconds(now) / stations[b].machine().cores()
-                    / ((now - START) / SECOND);
             met.mostWaiting = stations[b].mostWaiting();
             held += stations[b].heldSeconds(now);
         }
@@ -248,6 +254,20 @@
                 events);
     }
 
+    /** Notes how busy cores were while load was at its height, from its beginning to its end. */
+    private void measure(boolean end) {
+        for (int b = 0; b < stations.length; b++) {
+            double busy = stations[b].busySeconds(now);
+            if (end) {
+                outcome.backends().get(b).busy = (busy - busyAtHeight[b]) / stations[b].machine().cores()
+                        / Math.max(1e-9, (now - heightFrom) / SECOND);
+            } else {
+                busyAtHeight[b] = busy;
+            }
+        }
+        heightFrom = end ? heightFrom : now;
+    }
+
     private void play(int kind, int a, int b) {
         switch (kind) {
             case ARRIVAL -> arrive();
@@ -268,6 +288,7 @@
             case RELIEF -> relieve(a);
             case NOTICED -> noticed(a);
             case JOIN -> join(a, b);
+            case MEASURE -> measure(a == 1);
             default -> throw new IllegalStateException("no event of kind " + kind);
         }
     }
@@ -278,7 +299,9 @@
         if (now >= loadFrom() + model.length() || model.rate() <= 0) {
             return;
         }
-        double wait = -Math.log(1 - arrivals.nextDouble()) / (model.rate() * burst) * SECOND;
+        // Load does not begin at its height: it would meet a fleet about which nothing is known yet.
+        double part = Math.min(1, RAMP_FROM + (1 - RAMP_FROM) * (now - loadFrom()) / RAMP);
+        double wait = -Math.log(1 - arrivals.nextDouble()) / (model.rate() * burst * part) * SECOND;
         if (now > loadFrom()) {
             int request = take();
             cls[request] = pick(model.shares(), arrivals.nextDouble());
--- a/src/main/java/rowanmoor/emulator/Outcome.java
+++ b/src/main/java/rowanmoor/emulator/Outcome.java
@@ -33,7 +33,10 @@
         public long stays;
     }
 
-    /** One backend: part of its cores' time in use, the longest queue, refusals and losses. */
+    /**
+     * One backend: part of its cores' time in use with load at its height, the longest queue, refusals
+     * and losses.
+     */
     public static final class BackendMet {
         public double busy;
         public int mostWaiting;
--- a/src/main/java/rowanmoor/plan/Diagnosis.java
+++ b/src/main/java/rowanmoor/plan/Diagnosis.java
@@ -29,7 +29,6 @@
     public static List<Finding> of(Model model, Outcome outcome) {
         List<Finding> all = new ArrayList<>();
         double span = model.length() / 1e9;
-        double loadPart = model.length() / (double) (model.length() + model.settle());
         TreeMap<String, List<Integer>> groups = new TreeMap<>();
         for (int b = 0; b < model.machines().size(); b++) {
             Model.Machine m = model.machines().get(b);
@@ -37,9 +36,9 @@
                     .zone()),
                     g -> new ArrayList<>()).add(b);
         }
-        double fleetBusy = mean(outcome, groups.values().stream().flatMap(List::stream).toList()) / loadPart;
+        double fleetBusy = mean(outcome, groups.values().stream().flatMap(List::stream).toList());
         groups.forEach((place, members) -> {
-            double busy = mean(outcome, members) / loadPart;
+            double busy = mean(outcome, members);
             double tries = members.stream().mapToDouble(b -> tries(outcome, b)).sum();
             double full = members.stream().mapToDouble(b -> outcome.backends().get(b).full).sum();
             double none = members.stream().mapToDouble(b -> outcome.backends().get(b).noConnection).sum();
@@ -54,8 +53,8 @@
             all.add(new Finding(Finding.Resource.CONNECTIONS, place, nonePart / TURNED_AWAY * damp,
                     text("%.2f%% of tries found no connection", 100 * nonePart)));
         });
-        confined(model, outcome, loadPart, fleetBusy, all);
-        channel(model, outcome, span, groups, loadPart, all);
+        confined(model, outcome, fleetBusy, all);
+        channel(model, outcome, span, groups, all);
         all.sort(Comparator.comparingDouble((Finding f) -> -f.pressure()));
         return all;
     }
@@ -70,7 +69,7 @@
     }
 
     /** A class that only some backends may serve, and that fails while the others have room. */
-    private static void confined(Model model, Outcome outcome, double loadPart, double fleetBusy,
+    private static void confined(Model model, Outcome outcome, double fleetBusy,
             List<Finding> all) {
         for (int c = 0; c < model.shares().length; c++) {
             ClassSpec spec = model.site().classes().get(c);
@@ -85,9 +84,9 @@
                     open.add(b);
                 }
             }
-            double busy = mean(outcome, open) / loadPart;
+            double busy = mean(outcome, open);
             double busiest = open.stream().mapToDouble(b -> outcome.backends().get(b).busy).max()
-                    .orElse(0) / loadPart;
+                    .orElse(0);
             boolean othersHaveRoom = busy > UNEVEN * fleetBusy;
             // Just above its backends' cores, which are the same shortage seen from the other side.
             all.add(new Finding(Finding.Resource.CONFINED_CLASS, model.site().classNames().get(c),
@@ -100,13 +99,13 @@
 
     private static void channel(Model model, Outcome outcome, double span, TreeMap<String,
             List<Integer>> groups,
-            double loadPart, List<Finding> all) {
+            List<Finding> all) {
         double seconds = span + model.settle() / 1e9;
         for (int c = 0; c < outcome.controllers().size(); c++) {
             Outcome.ControllerMet met = outcome.controllers().get(c);
             double used = met.lines / (model.site().channel().linesPerSecond() * seconds);
-            double busiest = outcome.backends().stream().mapToDouble(b -> b.busy).max().orElse(0) / loadPart;
-            double mean = outcome.backends().stream().mapToDouble(b -> b.busy).average().orElse(0) / loadPart;
+            double busiest = outcome.backends().stream().mapToDouble(b -> b.busy).max().orElse(0);
+            double mean = outcome.backends().stream().mapToDouble(b -> b.busy).average().orElse(0);
             boolean uneven = busiest > UNEVEN * mean;
             all.add(new Finding(Finding.Resource.CHANNEL, "controller " + c,
                     used > BUSY && uneven ? 1 + used : used,
--- a/src/test/java/rowanmoor/cli/MainTest.java
+++ b/src/test/java/rowanmoor/cli/MainTest.java
@@ -44,6 +44,16 @@
         assertTrue(err.toString().contains("nonsense"), err.toString());
     }
 
+    @Test
+    void aCommandThatFailsSaysWhyInItsFilesTerms(@TempDir Path dir) throws IOException {
+        Path bad = dir.resolve("bad.kdl");
+        Files.writeString(bad, "day {\n  length 5\n");
+        assertEquals(1, run("day", bad.toString()));
+        assertTrue(err.toString().startsWith("rowanmoor: " + bad + ":1:5: a block is not closed"), err.toString());
+        assertEquals(1, run("capture", "info", dir.resolve("nothing").toString()));
+        assertEquals(2, run("day"));
+    }
+
     @Test
     void allSamplesAreRight() throws IOException {
         for (String folder : List.of("days", "conf")) {
