--- a/src/main/java/rowanmoor/cli/PlanCommand.java
+++ b/src/main/java/rowanmoor/cli/PlanCommand.java
@@ -60,6 +60,9 @@
     @Option(names = "--zones-lost", description = "how many backends: with each zone lost in turn, too")
     private boolean zonesLost;
 
+    @Option(names = "--sensitivity", description = "how the breaking rate moves with one input at a time")
+    private boolean sensitivity;
+
     @Override
     public Integer call() throws ConfigError, IOException {
         DayFile day = DayFile.read(fleet);
@@ -74,7 +77,12 @@
         }
         Runs runs = (m, which) -> which.parallelStream().map(s -> Emulator.play(m, s)).toList();
         Planner planner = new Planner(new Goal(service, worst), runs, seeds);
-        breaks(planner, model);
+        Planner.Breaks found = breaks(planner, model);
+        if (sensitivity && found.rate().count() > 0) {
+            planner.sensitivity(model,
+                    found.rate().mean()).forEach(s -> say("  the breaking rate moves by %+.0f%%"
+                    + " with %s", 100 * s.change(), s.input()));
+        }
         howMany(planner, model);
         for (Planner.Loss l : planner.losses(model.length(50 * SECOND), 10 * SECOND, 15 * SECOND)) {
             say("loss of %-32s before %.3f, during %.3f, worst 10 s %.3f, back after %s%s;"
@@ -111,11 +119,11 @@
         return model.shares(shares).rate(info.requests() / span);
     }
 
-    private void breaks(Planner planner, Model model) {
+    private Planner.Breaks breaks(Planner planner, Model model) {
         Planner.Breaks breaks = planner.whatBreaks(model);
         if (breaks.rate().count() == 0) {
             say("what breaks first: %s", breaks.note());
-            return;
+            return breaks;
         }
         say("breaks at %.0f requests a second (95%%: %.0f to %.0f over %d seeds; %d runs);"
                 + " the rate now is %.0f%s",
@@ -126,6 +134,7 @@
             say("  %d. %s, %s: %s (pressure %.2f)", i + 1, f.resource(), f.place(), f.evidence(),
                     f.pressure());
         }
+        return breaks;
     }
 
     private void howMany(Planner planner, Model model) {
--- a/src/main/java/rowanmoor/plan/Planner.java
+++ b/src/main/java/rowanmoor/plan/Planner.java
@@ -250,9 +250,10 @@
     /** One input at a time a fifth up: how much the breaking rate moves, as a part of it. */
     public List<Sensitivity> sensitivity(Model model, double rate) {
         List<Sensitivity> all = new ArrayList<>();
-        all.add(moved("work of all requests", model, rate, m -> with(m, scaled(m.work(), 1.2), m.cv(),
+        all.add(moved("a fifth more work in each request", model, rate, m -> with(m, scaled(m.work(), 1.2),
+                m.cv(),
                 m.retries())));
-        all.add(moved("spread of work", model, rate, m -> with(m, m.work(), scaled(m.cv(), 1.2),
+        all.add(moved("a fifth more spread of work", model, rate, m -> with(m, m.work(), scaled(m.cv(), 1.2),
                 m.retries())));
         all.add(moved("one more retry of clients", model, rate, m -> with(m, m.work(), m.cv(),
                 m.retries() + 1)));
--- a/src/test/java/rowanmoor/plan/PlannerTest.java
+++ b/src/test/java/rowanmoor/plan/PlannerTest.java
@@ -176,6 +176,16 @@
         assertEquals(1, planner(0.9).howMany(one, List.of()).count());
     }
 
+    @Test
+    void aFifthMoreWorkBringsTheBreakAboutASixthNearer() throws ConfigError {
+        Model model = fleet(site("2000/s", ""), machines(10, 20, 0), 50, READS, 0);
+        Planner planner = planner(0.9);
+        List<Planner.Sensitivity> all = planner.sensitivity(model, planner.whatBreaks(model).rate().mean());
+        double work = all.stream().filter(s -> s.input().contains("more work")).findFirst().orElseThrow().change();
+        assertTrue(work < -0.1 && work > -0.3, all.toString());
+        assertEquals(4, all.size());
+    }
+
     @Test
     void intervalsAreStudents() {
         Interval interval = Interval.of(List.of(9.0, 10.0, 11.0));
