--- a/src/main/java/rowanmoor/plan/Planner.java
+++ b/src/main/java/rowanmoor/plan/Planner.java
@@ -142,12 +142,7 @@
             double service = mean(sized(model, high), seen());
             // More backends that serve no better will not do: the limit is elsewhere.
             if (high >= BACKENDS_MOST || before >= 0 && service < before + 0.001 && high > 4 * now) {
-                Outcome at = play(sized(model, high), seen().subList(0, 1)).get(0);
-                List<Finding> findings = Diagnosis.of(sized(model, high), at);
-                return new Enough(-1, service, 0, played, String.format(Locale.ROOT,
-                        "no number of backends does: with"
-                        + " %d service is %.3f; short are %s (%s)", high, service, findings.get(0).resource(),
-                        findings.get(0).evidence()));
+                return new Enough(-1, service, 0, played, whyNone(sized(model, high), lost));
             }
             before = service;
             low = high;
@@ -169,6 +164,27 @@
                 "");
     }
 
+    /**
+     * Why more backends do not help: a shortage elsewhere, or a loss that costs too much while it is
+     * noticed.
+     */
+    private String whyNone(Model model, List<java.util.function.Function<Model, List<Model.Trouble>>> lost) {
+        Outcome at = play(model, seen().subList(0, 1)).get(0);
+        String begin = "no number of backends does: with " + model.machines().size();
+        if (goal.kept(at) && !lost.isEmpty()) {
+            double worst = lost.stream().mapToDouble(l -> mean(model.troubles(l.apply(model)), seen())).min()
+                    .orElse(0);
+            return String.format(Locale.ROOT,
+                    "%s service is %.3f while nothing is lost, but %.3f over a run in which a"
+                    + " loss is met: what is lost until it is noticed costs more than the goal allows", begin,
+                    at.service(), worst);
+        }
+        Finding first = Diagnosis.of(model, at).get(0);
+        return String.format(Locale.ROOT, "%s service is %.3f; hardest pressed are %s (%s)", begin,
+                at.service(),
+                first.resource(), first.evidence());
+    }
+
     private boolean holds(Model model, List<java.util.function.Function<Model, List<Model.Trouble>>> lost,
             List<Long> which) {
         if (!play(model, which).stream().allMatch(goal::kept)) {
