--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -44,7 +44,7 @@
         subcommands = {CommandLine.HelpCommand.class, CaptureCommands.class, PlanCommand.class})
 public final class Commands {
 
-    private static final String LOG_LEVEL = "rowanmoor.log.level";
+    static final String LOG_LEVEL = "rowanmoor.log.level";
 
     @Spec
     private CommandSpec spec;
--- a/src/main/java/rowanmoor/cli/PlanCommand.java
+++ b/src/main/java/rowanmoor/cli/PlanCommand.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.function.Function;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -18,11 +20,16 @@
 import rowanmoor.emulator.Emulator;
 import rowanmoor.emulator.Model;
 import rowanmoor.lab.DayFile;
+import rowanmoor.lab.DrawnFleet;
 import rowanmoor.lab.Models;
+import rowanmoor.lab.PlanReport;
+import rowanmoor.lab.Verifier;
+import rowanmoor.plan.Estimator;
 import rowanmoor.plan.Finding;
 import rowanmoor.plan.Goal;
 import rowanmoor.plan.Planner;
 import rowanmoor.plan.Runs;
+import rowanmoor.plan.Trial;
 
 /** {@code rowanmoor plan}: asks the planner about a fleet, in the emulator. */
 @Command(name = "plan",
@@ -35,10 +42,29 @@
     @Spec
     private CommandSpec spec;
 
-    @Parameters(paramLabel = "FLEET", description = "a day file; its troubles are not played")
-    private Path fleet;
+    @Parameters(paramLabel = "FLEET", arity = "1..*",
+            description = "day files; their troubles are not played."
+            + " More than one only with --verify")
+    private List<Path> fleets;
 
-    @Option(names = "--load", paramLabel = "CAPTURE", description = "takes rate and mix from captured load")
+    @Option(names = "--verify", description = "forecasts, then raises load in steps on stand-ins, proxies and"
+            + " controllers that run here, and says how far off the forecasts were")
+    private boolean verify;
+
+    @Option(names = "--drawn", paramLabel = "SEED", description = "--verify: two fleets drawn by a seed, too")
+    private Long drawn;
+
+    @Option(names = "--simulated", description = "--verify: in memory and simulated time instead of sockets")
+    private boolean simulated;
+
+    @Option(names = "--abreast", defaultValue = "2", description = "--verify: fleets played at a time")
+    private int abreast;
+
+    @Option(names = "--report", paramLabel = "DIR", description = "writes the report there")
+    private Path report;
+
+    @Option(names = "--load", paramLabel = "CAPTURE",
+            description = "estimates rate, mix, proxies, work and repeats from captured load")
     private Path load;
 
     @Option(names = "--rate", description = "requests a second, in place of the file's")
@@ -64,59 +90,136 @@
     private boolean sensitivity;
 
     @Override
-    public Integer call() throws ConfigError, IOException {
+    public Integer call() throws ConfigError, IOException, InterruptedException {
+        if (verify) {
+            return verified();
+        }
+        if (fleets.size() > 1) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "one FLEET is planned for at a time");
+        }
+        return planned();
+    }
+
+    private int planned() throws ConfigError, IOException {
+        Path fleet = fleets.get(0);
         DayFile day = DayFile.read(fleet);
         Model model = Models.of(day, 1).model().troubles(List.of()).length(seconds * SECOND);
+        Runs runs = (m, which) -> which.parallelStream().map(s -> Emulator.play(m, s)).toList();
         say("goal: service %.3f%s", service, worst > 0 ? String.format(Locale.ROOT, ", worst 10 s %.3f",
                 worst) : "");
-        say("from %s: fleet, work of classes, spread (exponential), clients' retries", fleet);
-        model = load == null ? model : captured(model);
+        List<Estimator.Estimate> estimates = new ArrayList<>();
+        List<String> notes = new ArrayList<>();
+        if (load != null) {
+            Capture capture = Capture.read(load);
+            capture.problems().forEach(p -> notes.add("capture: " + p));
+            Estimator.Estimated found = new Estimator(model, runs, 1).from(capture.records());
+            model = found.model();
+            estimates.addAll(found.estimates());
+            notes.addAll(found.notes());
+        }
         if (rate != null) {
             model = model.rate(rate);
-            say("from --rate: %.1f requests a second", rate);
         }
-        Runs runs = (m, which) -> which.parallelStream().map(s -> Emulator.play(m, s)).toList();
+        List<String[]> given = given(model, fleet, estimates);
+        estimates.forEach(e -> say("%-34s %9.3f %-2s (%.3f to %.3f) from %s: %s", e.what(), e.value(),
+                e.unit(),
+                e.low(), e.high(), load, e.from()));
+        given.forEach(g -> say("%-34s %s, from %s", g[0], g[1], g[2]));
+        notes.forEach(n -> say("note: %s", n));
         Planner planner = new Planner(new Goal(service, worst), runs, seeds);
-        Planner.Breaks found = breaks(planner, model);
-        if (sensitivity && found.rate().count() > 0) {
-            planner.sensitivity(model,
-                    found.rate().mean()).forEach(s -> say("  the breaking rate moves by %+.0f%%"
-                    + " with %s", 100 * s.change(), s.input()));
-        }
-        howMany(planner, model);
-        for (Planner.Loss l : planner.losses(model.length(50 * SECOND), 10 * SECOND, 15 * SECOND)) {
+        Planner.Breaks breaks = breaks(planner, model);
+        boolean broken = breaks.rate().count() > 0 && breaks.rate().mean() > 0;
+        List<Planner.Sensitivity> moves = (sensitivity || report != null) && broken
+                ? planner.sensitivity(model, breaks.rate().mean()) : List.of();
+        moves.forEach(s -> say("  the breaking rate moves by %+.0f%% with %s", 100 * s.change(), s.input()));
+        Planner.Enough enough = howMany(planner, model);
+        List<Planner.Loss> losses = planner.losses(model.length(50 * SECOND), 10 * SECOND, 15 * SECOND);
+        for (Planner.Loss l : losses) {
             say("loss of %-32s before %.3f, during %.3f, worst 10 s %.3f, back after %s%s;"
                     + " queue at %.0f%% of limit",
                     l.what(), l.before(), l.during(), l.worst(), l.recovery() < 0 ? "never"
                             : Math.round(l.recovery()) + " s", l.jammed() ? ", STAYS JAMMED" : "",
                     100 * l.queueOfLimit());
         }
+        if (report != null) {
+            System.setProperty("java.awt.headless", "true");
+            PlanReport.write(new PlanReport.Plan(day.name(), new Goal(service, worst), model.rate(),
+                    model.machines().size(), given, estimates, notes, breaks, broken
+                            ? planner.curve(model, breaks.rate().mean()) : List.of(), enough, zonesLost,
+                    losses, moves), report);
+            say("report: %s", report.resolve("plan.html"));
+        }
         return 0;
     }
 
-    private void say(String format, Object... arguments) {
-        PrintWriter out = spec.commandLine().getOut();
-        out.printf(Locale.ROOT, format + "%n", arguments);
-        out.flush();
+    /** What was not estimated: figures of the file or of the command line. */
+    private List<String[]> given(Model model, Path fleet, List<Estimator.Estimate> estimates) {
+        List<String[]> all = new ArrayList<>();
+        String file = fleet.toString();
+        if (rate != null || estimates.isEmpty()) {
+            all.add(new String[] {"rate", text("%.1f/s", model.rate()), rate != null ? "--rate" : file});
+        }
+        boolean worked = estimates.stream().anyMatch(e -> e.what().startsWith("work of"));
+        for (int c = 0; c < model.shares().length; c++) {
+            String name = model.site().classNames().get(c);
+            if (!worked) {
+                all.add(new String[] {"work of " + name, text("%.1f ms, spread %.2f", 1000 * model.work()[c],
+                        model.cv()[c]), file});
+            }
+            if (estimates.isEmpty()) {
+                all.add(new String[] {"share of " + name, text("%.3f", model.shares()[c]), file});
+            }
+            var its = model.site().classes().get(c);
+            all.add(new String[] {name, text("worth %.1f, aim %d ms, deadline %d ms, %s", its.worth(),
+                    its.aim() / 1_000_000, its.deadline() / 1_000_000, its.effect()), file});
+        }
+        all.add(new String[] {"clients",
+                text("up to %d repeats after %d ms, a try up to %.2f of the deadline",
+                model.retries(), model.backoff() / 1_000_000, model.tryShare()), file});
+        java.util.TreeMap<String, Integer> counts = new java.util.TreeMap<>();
+        for (Model.Machine m : model.machines()) {
+            counts.merge(text("%s in %s: %d cores of speed %.2f, %d slots, room for %d more, %s connections",
+                    model.site().kinds().get(m.kind()), model.site().zones().get(m.zone()), m.cores(),
+                    m.speed(), m.slots(), m.queue(), m.connections() == 0 ? "any number of"
+                            : Integer.toString(m.connections())), 1, Integer::sum);
+        }
+        counts.forEach((what, n) -> all.add(new String[] {"backends", n + " " + what, file}));
+        all.add(new String[] {"channel", text("%.0f lines a second, at most %.0f waiting",
+                model.site().channel().linesPerSecond(), model.site().channel().backlog()), file});
+        return all;
+    }
+
+    private static String text(String format, Object... arguments) {
+        return String.format(Locale.ROOT, format, arguments);
     }
 
-    /** Rate and mix as captured: requests that came to proxies, clients' repeats among them. */
-    private Model captured(Model model) throws IOException {
-        Capture capture = Capture.read(load);
-        capture.problems().forEach(p -> say("capture: %s", p));
-        Capture.Info info = capture.info();
-        double span = (info.to() - info.from()) / 1e9;
-        double[] shares = new double[model.shares().length];
-        for (int c = 0; c < shares.length; c++) {
-            shares[c] = info.requestsByClass().getOrDefault(model.site().classNames().get(c), 0L);
+    private int verified() throws ConfigError, IOException, InterruptedException {
+        Path directory = report == null ? Files.createTempDirectory("rowanmoor-verify") : report;
+        Files.createDirectories(directory);
+        List<Path> all = new ArrayList<>(fleets);
+        for (int n = 1; drawn != null && n <= 2; n++) {
+            Path file = directory.resolve("drawn-" + n + ".kdl");
+            Files.writeString(file, DrawnFleet.draw("drawn " + n, 2 * drawn + n));
+            all.add(file);
         }
-        if (info.requests() == 0 || span <= 0) {
-            say("from %s: no request; the rate is 0", load);
-            return model.rate(0);
+        if (System.getProperty(Commands.LOG_LEVEL) == null) {
+            System.setProperty(Commands.LOG_LEVEL, "OFF");
         }
-        say("from %s: %.1f requests a second over %.1f s, mix %s", load, info.requests() / span, span,
-                info.requestsByClass());
-        return model.shares(shares).rate(info.requests() / span);
+        List<Trial> trials = new Verifier(new Goal(service, worst), simulated ? Verifier.Ways.SIMULATED
+                : Verifier.Ways.SOCKETS, seconds * SECOND, abreast, directory, line -> say("%s",
+                        line)).run(all);
+        String table = Verifier.table(trials);
+        Files.writeString(directory.resolve("accuracy.txt"), table);
+        say("%n%s", table.stripTrailing());
+        say("forecasts.json (written first), verified.json and the runs are in %s", directory);
+        return 0;
+    }
+
+    private void say(String format, Object... arguments) {
+        PrintWriter out = spec.commandLine().getOut();
+        out.printf(Locale.ROOT, format + "%n", arguments);
+        out.flush();
     }
 
     private Planner.Breaks breaks(Planner planner, Model model) {
@@ -137,7 +240,7 @@
         return breaks;
     }
 
-    private void howMany(Planner planner, Model model) {
+    private Planner.Enough howMany(Planner planner, Model model) {
         List<Function<Model, List<Model.Trouble>>> lost = new ArrayList<>();
         for (int z = 0; zonesLost && z < model.site().zones().size(); z++) {
             int zone = z;
@@ -154,5 +257,6 @@
                             enough.service(),
                     enough.freshService(), enough.runs(), model.machines().size());
         }
+        return enough;
     }
 }
--- a/src/main/java/rowanmoor/discovery/Prober.java
+++ b/src/main/java/rowanmoor/discovery/Prober.java
@@ -21,8 +21,8 @@
     private static final int ERROR = 20;
     private static final int FULL = 30;
     private static final int TIMEOUT = 40;
-    private static final int DOWN = 50;
-    private static final int BROKEN = 60;
+    public static final int DOWN = 50;
+    public static final int BROKEN = 60;
     private static final int BODY_MOST = 4096;
 
     private final Loop loop;
--- a/src/main/java/rowanmoor/emulator/Emulator.java
+++ b/src/main/java/rowanmoor/emulator/Emulator.java
@@ -14,6 +14,7 @@
 import rowanmoor.ControlApi.Probed;
 import rowanmoor.channel.Frame;
 import rowanmoor.controller.Driver;
+import rowanmoor.discovery.Prober;
 import rowanmoor.proxy.Router;
 import rowanmoor.proxy.Tallies;
 
@@ -43,16 +44,18 @@
     private static final int NOTICED = 16;
     private static final int JOIN = 17;
     private static final int MEASURE = 18;
+    private static final int NO_CONNECT = 19;
+    private static final int TRY_OUT = 20;
 
     private static final long START = 1_000_000_000_000_000L;
     private static final long MILLI = 1_000_000L;
     private static final double SECOND = 1e9;
+    /** The latency that backends report is a mean that forgets over so many answers. */
+    private static final double LATENCY_OVER = 8;
     private static final long TICK_GAP = 5 * MILLI;
     private static final long REDIAL = 300 * MILLI;
     private static final long SILENCE = 3000 * MILLI;
     private static final long CONNECTION_IDLE = 15_000 * MILLI;
-    private static final double RAMP = 7000.0 * MILLI;
-    private static final double RAMP_FROM = 0.3;
     private static final int MATRIX_MOST = 8_000_000;
     private static final long TAIL = 30_000 * MILLI;
 
@@ -78,6 +81,7 @@
     private final long[] busyAt;
     private final double[] busyBefore;
     private final double[] busyPart;
+    private final double[] latencies;
     private final double[] proxySums;
     private final double[] busyAtHeight;
     private long heightFrom;
@@ -99,6 +103,9 @@
     private int[] proxy = new int[1024];
     private int[] backend = new int[1024];
     private int[] triedFirst = new int[1024];
+    private int[] triedLast = new int[1024];
+    private int[] tryStamp = new int[1024];
+    private long[] tryEnds = new long[1024];
     private int[] proxyTries = new int[1024];
     private int[] clientTries = new int[1024];
     private int[] stamp = new int[1024];
@@ -122,8 +129,12 @@
     private int usedJobs;
 
     // Connections: those of each proxy to each backend, idle ones and when last used; null where too many.
+    // A pair's idle ones are a chain, the last used first.
     private final int[] idle;
-    private final long[] idleAt;
+    private int[] idleNext = new int[1024];
+    private long[] idleSince = new long[1024];
+    private int freeIdle = -1;
+    private int usedIdle;
     private final int[] connections;
 
     private Emulator(Model model, long seed) {
@@ -148,12 +159,15 @@
         Arrays.fill(busyAt, START);
         this.busyBefore = new double[count];
         this.busyPart = new double[count];
+        this.latencies = new double[count];
         this.busyAtHeight = new double[count];
         this.connections = new int[count];
         boolean bounded = model.machines().stream().anyMatch(m -> m.connections() > 0);
         boolean counted = bounded && (long) proxies * count <= MATRIX_MOST;
         this.idle = counted ? new int[proxies * count] : null;
-        this.idleAt = counted ? new long[proxies * count] : null;
+        if (counted) {
+            Arrays.fill(idle, -1);
+        }
         this.routers = new Router[proxies];
         this.tallies = new Tallies[proxies];
         this.joinedTo = new int[proxies];
@@ -193,7 +207,7 @@
             agenda.add(loadFrom() + model.troubles().get(t).at(), TROUBLE, t, 0);
         }
         agenda.add(loadFrom(), ARRIVAL, 0, 0);
-        agenda.add(loadFrom() + (model.length() > 2 * RAMP ? (long) RAMP : 0), MEASURE, 0, 0);
+        agenda.add(loadFrom() + Math.min(model.rise(), model.length() / 2), MEASURE, 0, 0);
         agenda.add(loadFrom() + model.length(), MEASURE, 1, 0);
     }
 
@@ -275,9 +289,11 @@
             case AT_BACKEND -> atBackend(a, b);
             case STATION -> look(a, b);
             case DONE -> answered(a, b);
-            case REFUSED -> refused(a, b);
-            case LOST -> lostTry(a, b);
+            case REFUSED -> follow(a, b, true, true);
+            case LOST -> follow(a, b, false, false);
             case GIVE_UP -> giveUp(a, b);
+            case NO_CONNECT -> follow(a, b, true, false);
+            case TRY_OUT -> tryOut(a, b);
             case RETRY -> ask(a);
             case REPORT -> report(a);
             case TICK -> tick(a, b);
@@ -299,9 +315,8 @@
         if (now >= loadFrom() + model.length() || model.rate() <= 0) {
             return;
         }
-        // Load does not begin at its height: it would meet a fleet about which nothing is known yet.
-        double part = Math.min(1, RAMP_FROM + (1 - RAMP_FROM) * (now - loadFrom()) / RAMP);
-        double wait = -Math.log(1 - arrivals.nextDouble()) / (model.rate() * burst * part) * SECOND;
+        double rate = model.rate() * burst * model.risen(now - loadFrom());
+        double wait = -Math.log(1 - arrivals.nextDouble()) / rate * SECOND;
         if (now > loadFrom()) {
             int request = take();
             cls[request] = pick(model.shares(), arrivals.nextDouble());
@@ -373,6 +388,9 @@
         proxy = Arrays.copyOf(proxy, room);
         backend = Arrays.copyOf(backend, room);
         triedFirst = Arrays.copyOf(triedFirst, room);
+        triedLast = Arrays.copyOf(triedLast, room);
+        tryStamp = Arrays.copyOf(tryStamp, room);
+        tryEnds = Arrays.copyOf(tryEnds, room);
         proxyTries = Arrays.copyOf(proxyTries, room);
         clientTries = Arrays.copyOf(clientTries, room);
         stamp = Arrays.copyOf(stamp, room);
@@ -391,6 +409,7 @@
         proxyTries[request] = 0;
         backend[request] = -1;
         triedFirst[request] = -1;
+        triedLast[request] = -1;
         out[request] = false;
         jobOf[request] = -1;
         int its = ++stamp[request];
@@ -407,18 +426,41 @@
             return;
         }
         if (out[request]) {
-            int job = jobOf[request];
-            if (job >= 0 && stations[backend[request]].drop(now, job)) {
-                left(job); // it still waited; what runs runs on
-            }
-            endTry(request, false);
+            cancelTry(request);
+            routers[proxy[request]].done(backends[backend[request]], true, now); // counts for nothing
         }
         tallies[proxy[request]].unanswered(cls[request]);
         tryFailed(request, false);
     }
 
+    /** The proxy closes its try's connection: work that still waited is dropped, what runs runs on. */
+    private void cancelTry(int request) {
+        int job = jobOf[request];
+        if (job >= 0 && stations[backend[request]].drop(now, job)) {
+            left(job);
+        }
+        jobOf[request] = -1;
+        tryStamp[request]++;
+        out[request] = false;
+        if (connected[request]) {
+            disconnect(proxy[request], backend[request], false);
+        }
+    }
+
+    /** A try that has a bound of its own took longer: the proxy gives it up and may try elsewhere. */
+    private void tryOut(int request, int its) {
+        if (tryStamp[request] == its && out[request] && tryEnds[request] == now) {
+            cancelTry(request);
+            Backend tried = backends[backend[request]];
+            routers[proxy[request]].done(tried, false, now);
+            tallies[proxy[request]].tried(tried, false, now - sentAt[request], List.of());
+            followOn(request, false, false);
+        }
+    }
+
     private void tryFailed(int request, boolean refused) {
         stamp[request]++;
+        tryStamp[request]++;
         var spec = model.site().classes().get(cls[request]);
         boolean may = refused || spec.effect() == Effect.SAFE;
         if (may && clientTries[request] <= model.retries()
@@ -432,6 +474,7 @@
 
     private void release(int request) {
         stamp[request]++;
+        tryStamp[request]++;
         free[freeCount++] = request;
     }
 
@@ -451,8 +494,7 @@
                 return;
             }
         }
-        Set<Backend> tried = triedFirst[request] < 0 ? Set.of() : Set.of(backends[triedFirst[request]]);
-        Backend picked = routers[p].pick(c, tried, now);
+        Backend picked = routers[p].pick(c, tried(request), now);
         if (picked == null) {
             outcome.classes().get(c).noLine++;
             tallies[p].unanswered(c);
@@ -465,13 +507,27 @@
         sentAt[request] = now;
         out[request] = true;
         routers[p].sent(picked);
+        int mine = ++tryStamp[request];
+        long within = routers[p].tryWithin(c);
+        if (within > 0) {
+            tryEnds[request] = now + within;
+            agenda.add(now + within, TRY_OUT, request, mine);
+        }
         connected[request] = connect(p, b);
         if (!connected[request]) {
+            // The system takes the connection and the request; then the backend closes: no proof of anything.
             outcome.backends().get(b).noConnection++;
-            agenda.add(now + 2 * way(p, b), REFUSED, request, its);
+            agenda.add(now + 2 * way(p, b), LOST, request, mine);
             return;
         }
-        agenda.add(now + way(p, b), AT_BACKEND, request, its);
+        agenda.add(now + way(p, b), AT_BACKEND, request, mine);
+    }
+
+    private Set<Backend> tried(int request) {
+        int first = triedFirst[request];
+        int last = triedLast[request];
+        return first < 0 ? Set.of() : first == last ? Set.of(backends[first])
+                : Set.of(backends[first], backends[last]);
     }
 
     private long way(int p, int b) {
@@ -486,8 +542,11 @@
             return true;
         }
         int place = p * stations.length + b;
-        if (idle[place] > 0) {
-            idle[place]--;
+        if (idle[place] >= 0) {
+            int taken = idle[place];
+            idle[place] = idleNext[taken];
+            idleNext[taken] = freeIdle;
+            freeIdle = taken;
             return true;
         }
         int most = model.machines().get(b).connections();
@@ -503,29 +562,40 @@
     private void disconnect(int p, int b, boolean kept) {
         if (idle != null && kept) {
             int place = p * stations.length + b;
-            idle[place]++;
-            idleAt[place] = now;
+            int its = freeIdle;
+            if (its >= 0) {
+                freeIdle = idleNext[its];
+            } else {
+                if (usedIdle == idleNext.length) {
+                    idleNext = Arrays.copyOf(idleNext, 2 * usedIdle);
+                    idleSince = Arrays.copyOf(idleSince, 2 * usedIdle);
+                }
+                its = usedIdle++;
+            }
+            idleNext[its] = idle[place];
+            idleSince[its] = now;
+            idle[place] = its;
         } else if (idle != null) {
             connections[b]--;
         }
     }
 
-    private void endTry(int request, boolean well) {
+    private void endTry(int request, boolean well, boolean kept) {
         int p = proxy[request];
         int b = backend[request];
         out[request] = false;
         routers[p].done(backends[b], well, now);
         tallies[p].tried(backends[b], well, now - sentAt[request], List.of());
         if (connected[request]) {
-            disconnect(p, b, well);
+            disconnect(p, b, kept);
         }
     }
 
     private void answered(int request, int its) {
-        if (stamp[request] != its) {
+        if (tryStamp[request] != its) {
             return;
         }
-        endTry(request, true);
+        endTry(request, true, true);
         var spec = model.site().classes().get(cls[request]);
         Outcome.ClassMet met = outcome.classes().get(cls[request]);
         long took = now - arrivedAt[request];
@@ -540,26 +610,29 @@
         release(request);
     }
 
-    private void refused(int request, int its) {
-        follow(request, its, true);
-    }
-
-    private void lostTry(int request, int its) {
-        follow(request, its, false);
+    /**
+     * A try failed.
+     *
+     * @param neverRan whether that is proved
+     * @param toldSo whether the client hears of it if no other try follows: a 503 of the backend's own
+     */
+    private void follow(int request, int its, boolean neverRan, boolean toldSo) {
+        if (tryStamp[request] == its) {
+            endTry(request, false, toldSo); // a backend that answers keeps its connection
+            followOn(request, neverRan, toldSo);
+        }
     }
 
-    private void follow(int request, int its, boolean neverRan) {
-        if (stamp[request] != its) {
-            return;
-        }
-        endTry(request, false);
+    private void followOn(int request, boolean neverRan, boolean toldSo) {
         long left = arrivedAt[request] + model.site().classes().get(cls[request]).deadline() - now;
         if (routers[proxy[request]].mayFollow(cls[request], proxyTries[request], neverRan, left)) {
-            triedFirst[request] = backend[request];
-            atProxy(request, its);
+            triedLast[request] = backend[request];
+            triedFirst[request] = triedFirst[request] < 0 ? backend[request] : triedFirst[request];
+            jobOf[request] = -1;
+            atProxy(request, stamp[request]);
         } else {
             tallies[proxy[request]].unanswered(cls[request]);
-            tryFailed(request, neverRan);
+            tryFailed(request, toldSo);
         }
     }
 
@@ -592,24 +665,46 @@
     private void dropIdle(int p) {
         for (int b = 0; b < stations.length; b++) {
             int place = p * stations.length + b;
-            if (idle[place] > 0 && (now - idleAt[place] > CONNECTION_IDLE || !routers[p].uses(backends[b]))) {
-                connections[b] -= idle[place];
-                idle[place] = 0;
+            if (idle[place] >= 0) {
+                long before = routers[p].uses(backends[b]) ? now - CONNECTION_IDLE : Long.MAX_VALUE;
+                closeBefore(place, b, before);
             }
         }
     }
 
+    /** Closes a pair's connections that were last used before a time: the end of its chain. */
+    private void closeBefore(int place, int b, long before) {
+        int above = -1;
+        int at = idle[place];
+        while (at >= 0 && idleSince[at] >= before) {
+            above = at;
+            at = idleNext[at];
+        }
+        if (above < 0) {
+            idle[place] = -1;
+        } else {
+            idleNext[above] = -1;
+        }
+        while (at >= 0) {
+            int next = idleNext[at];
+            idleNext[at] = freeIdle;
+            freeIdle = at;
+            connections[b]--;
+            at = next;
+        }
+    }
+
     // ---- backends ------------------------------------------------------------------------------------
 
     private void atBackend(int request, int its) {
-        if (stamp[request] != its) {
+        if (tryStamp[request] != its) {
             return;
         }
         int b = backend[request];
         Station station = stations[b];
         long back = now + way(proxy[request], b);
         if (station.isDown()) {
-            agenda.add(back, REFUSED, request, its);
+            agenda.add(back, NO_CONNECT, request, its);
             return;
         }
         int job = takeJob(request, its);
@@ -653,7 +748,11 @@
             return;
         }
         for (int job = station.ended(now); job >= 0; job = station.ended(now)) {
-            outcome.backends().get(b).served++;
+            Outcome.BackendMet met = outcome.backends().get(b);
+            met.served++;
+            met.staySeconds += (now - jobReached[job]) / SECOND;
+            met.workSeconds += jobWork[job];
+            latencies[b] += ((now - jobReached[job]) / (double) MILLI - latencies[b]) / LATENCY_OVER;
             int request = jobRequest[job];
             agenda.add(now + way(proxy[request], b), DONE, request, jobStamp[job]);
             left(job);
@@ -689,6 +788,7 @@
                 case "queue" -> (double) station.waiting();
                 case "inflight" -> (double) station.held();
                 case "busy" -> busyPart[b];
+                case "latency-ms" -> latencies[b];
                 default -> 0.0;
             });
         }
@@ -848,9 +948,12 @@
 
     private void probed(int rank, int b) {
         if (!dead[rank]) {
-            boolean up = !stations[b].isDown();
-            drivers[rank].hearProbe(new Probed(backends[b], up, up ? 10 : 50, 2 * model.sameZone(),
-                    up ? load(b) : List.of()));
+            boolean down = stations[b].isDown();
+            int most = model.machines().get(b).connections();
+            boolean full = idle != null && most > 0 && connections[b] >= most; // a probe needs one of its own
+            boolean up = !down && !full;
+            drivers[rank].hearProbe(new Probed(backends[b], up, up ? Prober.OK : down ? Prober.DOWN
+                    : Prober.BROKEN, 2 * model.sameZone(), up ? load(b) : List.of()));
             tickBy(rank, now);
         }
     }
--- a/src/main/java/rowanmoor/emulator/Model.java
+++ b/src/main/java/rowanmoor/emulator/Model.java
@@ -8,6 +8,7 @@
  *
  * @param settle how long proxies have to be bound before the load begins
  * @param length how long load arrives
+ * @param rise over this load rises from {@link #RISE_FROM} of its rate to the rate; 0 for at once
  * @param controllerZones a controller's zone, by rank
  * @param proxyZones a proxy's zone, by number
  * @param proxyWeights a proxy's part of the requests, in any unit
@@ -22,12 +23,16 @@
  * @param backoff how long it waits before
  * @param tryShare a client's try is given up after this part of the deadline
  */
-public record Model(Site site, long settle, long length, List<Integer> controllerZones, int[] proxyZones,
+public record Model(Site site, long settle, long length, long rise, List<Integer> controllerZones,
+        int[] proxyZones,
         double[] proxyWeights, List<Machine> machines, long notice, long sameZone, long crossZone,
                 double rate,
         double[] shares, double[] work, double[] cv, int retries, long backoff, double tryShare,
         List<Trouble> troubles) {
 
+    /** Part of the rate at which rising load begins. */
+    public static final double RISE_FROM = 0.3;
+
     /**
      * One backend.
      *
@@ -63,31 +68,54 @@
 
     /** The same at another rate. */
     public Model rate(double other) {
-        return new Model(site, settle, length, controllerZones, proxyZones, proxyWeights, machines, notice,
+        return new Model(site, settle, length, rise, controllerZones, proxyZones, proxyWeights, machines,
+                notice,
                 sameZone, crossZone, other, shares, work, cv, retries, backoff, tryShare, troubles);
     }
 
+    /** Part of its rate that load has reached so long after its beginning. */
+    public double risen(long since) {
+        return since >= rise ? 1 : RISE_FROM + (1 - RISE_FROM) * since / rise;
+    }
+
     /** The same with other troubles. */
     public Model troubles(List<Trouble> others) {
-        return new Model(site, settle, length, controllerZones, proxyZones, proxyWeights, machines, notice,
+        return new Model(site, settle, length, rise, controllerZones, proxyZones, proxyWeights, machines,
+                notice,
                 sameZone, crossZone, rate, shares, work, cv, retries, backoff, tryShare, List.copyOf(others));
     }
 
     /** The same with other backends. */
     public Model machines(List<Machine> others) {
-        return new Model(site, settle, length, controllerZones, proxyZones, proxyWeights, List.copyOf(others),
+        return new Model(site, settle, length, rise, controllerZones, proxyZones, proxyWeights,
+                List.copyOf(others),
                 notice, sameZone, crossZone, rate, shares, work, cv, retries, backoff, tryShare, troubles);
     }
 
     /** The same with other shares of the classes. */
     public Model shares(double[] others) {
-        return new Model(site, settle, length, controllerZones, proxyZones, proxyWeights, machines, notice,
+        return new Model(site, settle, length, rise, controllerZones, proxyZones, proxyWeights, machines,
+                notice,
                 sameZone, crossZone, rate, others, work, cv, retries, backoff, tryShare, troubles);
     }
 
+    /** The same with other proxies. */
+    public Model proxies(int[] zones, double[] weights) {
+        return new Model(site, settle, length, rise, controllerZones, zones, weights, machines, notice,
+                sameZone, crossZone, rate, shares, work, cv, retries, backoff, tryShare, troubles);
+    }
+
+    /** The same with other work of requests and another spread of it. */
+    public Model work(double[] otherWork, double[] otherCv) {
+        return new Model(site, settle, length, rise, controllerZones, proxyZones, proxyWeights, machines,
+                notice, sameZone, crossZone, rate, shares, otherWork, otherCv, retries, backoff, tryShare,
+                troubles);
+    }
+
     /** The same for another length. */
     public Model length(long other) {
-        return new Model(site, settle, other, controllerZones, proxyZones, proxyWeights, machines, notice,
+        return new Model(site, settle, other, rise, controllerZones, proxyZones, proxyWeights, machines,
+                notice,
                 sameZone, crossZone, rate, shares, work, cv, retries, backoff, tryShare, troubles);
     }
 }
--- a/src/main/java/rowanmoor/emulator/Outcome.java
+++ b/src/main/java/rowanmoor/emulator/Outcome.java
@@ -44,6 +44,9 @@
         public long noConnection;
         public long served;
         public int mostConnections;
+        /** Of the served: summed time between reaching it and leaving it, and summed work, seconds. */
+        public double staySeconds;
+        public double workSeconds;
     }
 
     /** One controller. */
--- a/src/main/java/rowanmoor/lab/ControllerLoops.java
+++ b/src/main/java/rowanmoor/lab/ControllerLoops.java
@@ -3,11 +3,14 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import rowanmoor.config.ControllerConfig;
 import rowanmoor.controller.Controller;
+import rowanmoor.emulator.Outcome;
 import rowanmoor.net.Loop;
 import rowanmoor.net.MemoryNet;
 
@@ -20,6 +23,7 @@
     private final DayFile day;
     private final Consumer<Throwable> onFault;
     private final Map<Integer, Loop> running = new TreeMap<>();
+    private final Map<Integer, Controller> newest = new TreeMap<>();
     private long starts;
 
     ControllerLoops(MemoryNet net, DayFile day, Consumer<Throwable> onFault) {
@@ -40,6 +44,7 @@
                 1000 * MILLI);
         Controller controller = new Controller(config, loop, day.seed() * 31 + epoch, epoch,
                 () -> net.now() / MILLI);
+        newest.put(rank, controller);
         up.up(rank, controller.address(), epoch);
     }
 
@@ -58,6 +63,22 @@
         }
     }
 
+    @Override
+    public List<Outcome.ControllerMet> met() {
+        List<Outcome.ControllerMet> all = new ArrayList<>();
+        for (int rank = 0; rank < day.controllerZones().size(); rank++) {
+            Outcome.ControllerMet met = new Outcome.ControllerMet();
+            if (newest.containsKey(rank)) {
+                var driver = newest.get(rank).driver();
+                met.lines = driver.totalLines();
+                met.mostLines = driver.mostWaitingLines();
+                met.mostReports = driver.mostWaitingReports();
+            }
+            all.add(met);
+        }
+        return all;
+    }
+
     @Override
     public void close() {
         Map.copyOf(running).keySet().forEach(this::kill);
--- a/src/main/java/rowanmoor/lab/ControllerProcesses.java
+++ b/src/main/java/rowanmoor/lab/ControllerProcesses.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import rowanmoor.config.Section;
+import rowanmoor.emulator.Outcome;
 
 /**
  * Controllers as processes of their own, started by this program's own command line. Their log lines are
@@ -95,6 +96,21 @@
         return List.copyOf(stats);
     }
 
+    @Override
+    public List<Outcome.ControllerMet> met() {
+        List<Outcome.ControllerMet> all = new ArrayList<>();
+        for (int rank = 0; rank < day.controllerZones().size(); rank++) {
+            all.add(new Outcome.ControllerMet());
+        }
+        for (JsonNode line : stats()) { // in order: the newest of a rank stands
+            Outcome.ControllerMet met = all.get(line.get("rank").asInt());
+            met.lines = line.get("lines").asDouble();
+            met.mostLines = Math.max(met.mostLines, line.get("mostWaiting").asDouble());
+            met.mostReports = Math.max(met.mostReports, line.get("mostReportsWaiting").asInt());
+        }
+        return all;
+    }
+
     @Override
     public void kill(int rank) {
         Child child = running.remove(rank);
--- a/src/main/java/rowanmoor/lab/Controllers.java
+++ b/src/main/java/rowanmoor/lab/Controllers.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
+import rowanmoor.emulator.Outcome;
 
 /** The controllers of a run: processes of their own, or loops on a network in memory. */
 interface Controllers {
@@ -20,6 +22,9 @@
     /** Makes it stand still, or go on. */
     void stall(int rank, boolean on) throws IOException;
 
+    /** What each came to, by rank, so far as it has told. */
+    List<Outcome.ControllerMet> met();
+
     /** Ends all. */
     void close();
 }
--- a/src/main/java/rowanmoor/lab/DayFile.java
+++ b/src/main/java/rowanmoor/lab/DayFile.java
@@ -9,6 +9,7 @@
 import rowanmoor.config.ConfigError;
 import rowanmoor.config.Section;
 import rowanmoor.config.Site;
+import rowanmoor.emulator.Model;
 import rowanmoor.standin.BackendModel;
 import rowanmoor.standin.Clients;
 
@@ -20,6 +21,7 @@
  * @param proxySkew spread of what proxies get: standard deviation of the logarithm
  * @param notice how long the roster takes to notice that a backend is gone or back
  * @param rate requests a second
+ * @param rise over this load rises from {@link Model#RISE_FROM} of its rate to the rate; 0 for at once
  * @param swing part of the rate by which it rises and falls, over {@code swingOver}
  * @param shares by class: its part of the requests
  * @param work by class: mean work of a request, seconds on a core of speed 1
@@ -27,7 +29,8 @@
 public record DayFile(String name, long seed, long length, long settle, Site site,
         List<Integer> controllerZones,
         int proxies, double proxySkew, List<Group> groups, long notice, long rosterWait, long emptyHold,
-        double rate, double swing, long swingOver, double[] shares, double[] work, Clients.Habits habits,
+        double rate, long rise, double swing, long swingOver, double[] shares, double[] work,
+                Clients.Habits habits,
         List<Trouble> troubles, Map<String, Double> expectations) {
 
     /** Backends of one kind, in one zone or (-1) spread over all. */
@@ -85,6 +88,7 @@
                 f.number("proxy-skew", 0, 3, 0), List.copyOf(groups),
                 r.duration("notice", "0s", "60s", "1s"), r.duration("wait", "100ms", "60s", "2s"),
                 r.duration("empty-hold", "0s", "60s", "3s"), l.rate("rate", 0.1, 100000),
+                l.duration("rise", "0s", "1h", "0s"),
                 l.number("swing", 0, 1, 0), l.duration("swing-over", "1s", "1h", "20s"), shares, work,
                 new Clients.Habits(c.whole("retries", 0, 10, 0), c.duration("backoff", "0s", "60s", "100ms"),
                         c.number("try-share", 0.05, 1, 1)),
@@ -170,7 +174,15 @@
     public DayFile seed(long other) {
         return new DayFile(name, other, length, settle, site, controllerZones, proxies, proxySkew, groups,
                 notice,
-                rosterWait, emptyHold, rate, swing, swingOver, shares, work, habits, troubles, expectations);
+                rosterWait, emptyHold, rate, rise, swing, swingOver, shares, work, habits, troubles,
+                        expectations);
+    }
+
+    /** The same day at another rate, of another length, without troubles and swing. */
+    public DayFile calm(double otherRate, long otherLength) {
+        return new DayFile(name, seed, otherLength, settle, site, controllerZones, proxies, proxySkew, groups,
+                notice, rosterWait, emptyHold, otherRate, rise, 0, swingOver, shares, work, habits, List.of(),
+                Map.of());
     }
 
     /** How many backends there are. */
@@ -186,6 +198,7 @@
             @Override
             public double at(long time) {
                 double now = rate * (1 + swing * Math.sin(2 * Math.PI * time / swingOver));
+                now *= time >= rise ? 1 : Model.RISE_FROM + (1 - Model.RISE_FROM) * time / rise;
                 for (Trouble t : troubles) {
                     if (t.kind() == Trouble.Kind.BURST && time >= t.at() && time < t.end()) {
                         now *= t.size();
--- a/src/main/java/rowanmoor/lab/Ground.java
+++ b/src/main/java/rowanmoor/lab/Ground.java
@@ -20,8 +20,10 @@
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Listed;
 import rowanmoor.discovery.Addresses;
+import rowanmoor.emulator.Outcome;
 import rowanmoor.net.Loop;
 import rowanmoor.proxy.ProxyConfig;
+import rowanmoor.standin.BackendModel;
 import rowanmoor.standin.BackendServer;
 import rowanmoor.standin.Clients;
 import rowanmoor.standin.Ledger;
@@ -55,6 +57,8 @@
     private final Map<Long, Integer> ranks = new ConcurrentHashMap<>();
     private final long[] proxyWeightsMilli;
     private final long start;
+    private final List<Outcome.BackendMet> met = new ArrayList<>();
+    private long heightFrom;
     private RosterServer roster;
     private Clients clients;
     private final SplittableRandom troubleRandom;
@@ -77,6 +81,8 @@
             startController(rank);
         }
         day.troubles().forEach(this::schedule);
+        stage.at(start + Math.min(day.rise(), day.length() / 2), () -> measure(false));
+        stage.at(start + day.length(), () -> measure(true));
         buildClients();
     }
 
@@ -101,6 +107,7 @@
                 int spread = number++ % day.site().zones().size();
                 int zone = group.zone() >= 0 ? group.zone() : spread;
                 backends.add(server);
+                met.add(new Outcome.BackendMet());
                 places.put(server.backend(), new Evidence.Place(zone, group.kind()));
                 roster.put(new RosterServer.Instance(server.backend(), day.site().zones().get(zone),
                         day.site().kinds().get(group.kind()), group.weight(), Listed.READY, 0, 0));
@@ -167,6 +174,35 @@
                 day.habits(), start);
     }
 
+    /** Notes how busy cores were while load was at its height. */
+    private void measure(boolean end) {
+        long now = stage.now();
+        for (int b = 0; b < backends.size(); b++) {
+            BackendModel model = backends.get(b).model();
+            double sum = model.busySeconds(now);
+            Outcome.BackendMet its = met.get(b);
+            its.busy = end ? (sum - its.busy) / model.spec().cores() / ((now - heightFrom) / 1e9) : sum;
+        }
+        heightFrom = now;
+    }
+
+    /** What each backend came to, in the order of the day's groups; once the loops have ended. */
+    List<Outcome.BackendMet> backendsMet() {
+        Map<Backend, Outcome.BackendMet> by = new TreeMap<>();
+        for (int b = 0; b < backends.size(); b++) {
+            met.get(b).noConnection = backends.get(b).turnedAway();
+            by.put(backends.get(b).backend(), met.get(b));
+        }
+        for (Ledger.Entry entry : ledger.entries()) {
+            if (entry.end == Ledger.End.SERVED) {
+                by.get(entry.backend).served++;
+            } else if (entry.end == Ledger.End.FULL) {
+                by.get(entry.backend).full++;
+            }
+        }
+        return met;
+    }
+
     // ---- controllers ---------------------------------------------------------------------------------
 
     private void startController(int rank) {
--- a/src/main/java/rowanmoor/lab/Models.java
+++ b/src/main/java/rowanmoor/lab/Models.java
@@ -48,7 +48,8 @@
                 troubles.add(its);
             }
         }
-        return new Modelled(new Model(day.site(), day.settle(), day.length(), day.controllerZones(),
+        return new Modelled(new Model(day.site(), day.settle(), day.length(), day.rise(),
+                day.controllerZones(),
                 proxyZones,
                 weights, List.copyOf(machines), day.notice(), MILLI / 5, MILLI, day.rate(), day.shares(),
                 day.work(), cv, day.habits().retries(), day.habits().backoff(), day.habits().tryShare(),
--- a/src/main/java/rowanmoor/lab/Played.java
+++ b/src/main/java/rowanmoor/lab/Played.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import rowanmoor.config.Site;
+import rowanmoor.emulator.Outcome;
 import rowanmoor.standin.Clients;
 
 /**
@@ -12,10 +13,11 @@
  *
  * @param stats lines of figures that controllers logged; empty for a simulated day
  * @param faults what was thrown on any loop, which must be nothing
+ * @param seen the run in the emulator's terms, so that both can be diagnosed alike
  */
 public record Played(DayFile day, Evidence evidence, List<Judge.Verdict> verdicts, List<Clients.Met> met,
         List<Clients.Outcome> outcomes, List<Double> changeMillis, double worstPush, List<JsonNode> stats,
-        List<String> faults) {
+        List<String> faults, Outcome seen) {
 
     /** Worth answered in time over worth offered, of one class or (-1) of all. */
     public double service(int cls) {
--- a/src/main/java/rowanmoor/lab/Player.java
+++ b/src/main/java/rowanmoor/lab/Player.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import java.util.function.Function;
+import rowanmoor.emulator.Outcome;
 import rowanmoor.net.Loop;
 import rowanmoor.net.MemoryNet;
 import rowanmoor.proxy.Router;
+import rowanmoor.standin.Clients;
 
 /** Plays days: on sockets with controllers in processes of their own, or simulated. */
 public final class Player {
@@ -57,8 +59,9 @@
         net.runUntil(end, () -> false);
         net.runUntil(end + 60 * SECOND, ground::done);
         net.runFor(AFTERWARDS);
+        List<Outcome.ControllerMet> met = controllers.met();
         controllers.close();
-        return played(day, ground, net.now(), List.of(), faults);
+        return played(day, ground, net.now(), List.of(), met, faults);
     }
 
     /** Plays a day on loopback sockets in real time. */
@@ -87,7 +90,7 @@
                 thread.join();
             }
             controllers.close();
-            return played(day, ground, end, controllers.stats(), faults);
+            return played(day, ground, end, controllers.stats(), controllers.met(), faults);
         } finally {
             proxies.close();
             controllers.close();
@@ -104,12 +107,39 @@
         Thread.sleep(AFTERWARDS / MILLI);
     }
 
+    /** The run in the emulator's terms, from what clients, backends and controllers counted. */
+    private static Outcome seen(DayFile day, Ground ground, List<Outcome.ControllerMet> controllers) {
+        int seconds = (int) (day.length() / SECOND) + 1;
+        double[] good = new double[seconds];
+        double[] asked = new double[seconds];
+        for (Clients.Outcome o : ground.clients().outcomes()) {
+            var spec = day.site().classes().get(o.cls());
+            int second = (int) Math.max(0, Math.min(seconds - 1, (o.arrivedAt() - ground.start()) / SECOND));
+            asked[second] += spec.worth();
+            good[second] += !o.answered() ? 0 : o.took() <= spec.aim() ? spec.worth()
+                    : spec.worth() * spec.lateWorth();
+        }
+        List<Outcome.ClassMet> classes = new ArrayList<>();
+        for (Clients.Met met : ground.clients().met()) {
+            Outcome.ClassMet its = new Outcome.ClassMet();
+            its.offered = met.offered;
+            its.good = met.good;
+            its.late = met.late;
+            its.failed = met.failed;
+            its.tries = met.tries;
+            classes.add(its);
+        }
+        return new Outcome(classes, ground.backendsMet(), controllers, good, asked, 0, 0);
+    }
+
     private static Played played(DayFile day, Ground ground, long end,
-            List<com.fasterxml.jackson.databind.JsonNode> stats, List<String> faults) throws IOException {
+            List<com.fasterxml.jackson.databind.JsonNode> stats, List<Outcome.ControllerMet> controllers,
+            List<String> faults) throws IOException {
         Evidence evidence = ground.evidence(end);
         Judge judge = new Judge(evidence);
         return new Played(day, evidence, judge.verdicts(), ground.clients().met(),
                 ground.clients().outcomes(),
-                judge.changeToAppliedMillis(), ground.worstPush(), stats, List.copyOf(faults));
+                judge.changeToAppliedMillis(), ground.worstPush(), stats, List.copyOf(faults),
+                seen(day, ground, controllers));
     }
 }
--- a/src/main/java/rowanmoor/plan/Diagnosis.java
+++ b/src/main/java/rowanmoor/plan/Diagnosis.java
@@ -21,6 +21,8 @@
     private static final double TURNED_AWAY = 0.01;
     /** Part of cores' time in use, from which cores are at their limit: queues grow without bound near 1. */
     private static final double BUSY = 0.9;
+    /** Part of cores' time in use, up to which there is room to spare in them. */
+    private static final double ROOMY = 0.8;
     private static final double UNEVEN = 1.25;
 
     private Diagnosis() { }
@@ -44,14 +46,20 @@
             double none = members.stream().mapToDouble(b -> outcome.backends().get(b).noConnection).sum();
             all.add(new Finding(Finding.Resource.CORES, place, busy / BUSY, text("%.0f%% of core time in use",
                     100 * busy)));
-            // Refusals beside cores that are full are the cores': the queue only fills because they are.
-            double damp = Math.max(0, Math.min(1, (1 - busy) / (1 - BUSY) - 0.5));
+            // Where slots keep all cores in use, a backend is only ever full because they are: refusals are
+            // the cores' own, unless cores were idle for much of the time and bursts alone filled it.
+            boolean slotsUseCores = members.stream().map(model.machines()::get)
+                    .allMatch(m -> m.slots() >= m.cores());
+            double room = Math.max(0, Math.min(1, (BUSY - busy) / (BUSY - ROOMY)));
+            double damp = slotsUseCores ? room : 1;
             double fullPart = tries == 0 ? 0 : full / tries;
             double nonePart = tries == 0 ? 0 : none / tries;
             all.add(new Finding(Finding.Resource.WAITING_ROOM, place, fullPart / TURNED_AWAY * damp,
-                    text("%.2f%% of tries turned away as full", 100 * fullPart)));
-            all.add(new Finding(Finding.Resource.CONNECTIONS, place, nonePart / TURNED_AWAY * damp,
-                    text("%.2f%% of tries found no connection", 100 * nonePart)));
+                    text("%.2f%% of tries turned away as full; %.0f%% of core time in use", 100 * fullPart,
+                            100 * busy)));
+            all.add(new Finding(Finding.Resource.CONNECTIONS, place, nonePart / TURNED_AWAY * room,
+                    text("%.2f%% of tries found no connection; %.0f%% of core time in use", 100 * nonePart,
+                            100 * busy)));
         });
         confined(model, outcome, fleetBusy, all);
         channel(model, outcome, span, groups, all);
@@ -88,9 +96,15 @@
             double busiest = open.stream().mapToDouble(b -> outcome.backends().get(b).busy).max()
                     .orElse(0);
             boolean othersHaveRoom = busy > UNEVEN * fleetBusy;
-            // Just above its backends' cores, which are the same shortage seen from the other side.
+            double tries = open.stream().mapToDouble(b -> tries(outcome, b)).sum();
+            double full = open.stream().mapToDouble(b -> outcome.backends().get(b).full).sum();
+            boolean slotsUseCores = open.stream().map(model.machines()::get)
+                    .allMatch(m -> m.slots() >= m.cores());
+            // Just above its backends' cores and, where slots use those, their waiting rooms: while others
+            // have room it is the same shortage seen from the other side.
+            double room = tries == 0 || !slotsUseCores ? 0 : full / tries / TURNED_AWAY;
             all.add(new Finding(Finding.Resource.CONFINED_CLASS, model.site().classNames().get(c),
-                    othersHaveRoom ? busiest / BUSY * 1.05 : 0,
+                    othersHaveRoom ? Math.max(busiest / BUSY, room) * 1.05 : 0,
                             text("%d of %d backends are open to it, %.0f%% busy;"
                             + " the fleet %.0f%%", open.size(), model.machines().size(), 100 * busy,
                             100 * fleetBusy)));
--- a/src/main/java/rowanmoor/plan/Planner.java
+++ b/src/main/java/rowanmoor/plan/Planner.java
@@ -34,13 +34,17 @@
      */
     public record Loss(String what, double before, double during, double worst, double recovery,
             boolean jammed,
-            double queueOfLimit) { }
+            double queueOfLimit, double[] bySecond) { }
+
+    /** Service at a rate. */
+    public record Point(double rate, Interval service) { }
 
     private static final double PRECISION = 0.02;
     private static final int DOUBLINGS_MOST = 12;
     /** Requests in a run below which its service is mostly chance. */
     private static final double MEASURABLE = 300;
     private static final int BACKENDS_MOST = 4096;
+    private static final double[] CURVE = {0.5, 0.7, 0.8, 0.9, 0.95, 1, 1.05, 1.1, 1.2, 1.4};
     private static final double RECOVERED = 0.95;
     private static final long SECOND = 1_000_000_000L;
 
@@ -118,6 +122,16 @@
         return new Breaks(Interval.of(rates), findings, serviceAt, played, "");
     }
 
+    /** Service at rates about one at which the goal fails. */
+    public List<Point> curve(Model model, double around) {
+        List<Point> points = new ArrayList<>();
+        for (double part : CURVE) {
+            points.add(new Point(part * around, Interval.of(play(model.rate(part * around), seen()).stream()
+                    .map(Outcome::service).toList())));
+        }
+        return points;
+    }
+
     private boolean kept(Model model, long seed) {
         return goal.kept(play(model, List.of(seed)).get(0));
     }
@@ -252,7 +266,14 @@
         double queue = o.controllers().stream().mapToDouble(c -> c.mostLines).max().orElse(0)
                 / model.site().channel().backlog();
         return new Loss(what, before, stretch(o, from, to), o.worst(10), recovery, last < RECOVERED * before,
-                queue);
+                queue, bySecond(o, end));
+    }
+
+    /** Service by the second, over three seconds each. */
+    private static double[] bySecond(Outcome o, int end) {
+        double[] all = new double[end];
+        Arrays.setAll(all, s -> stretch(o, Math.max(0, s - 1), Math.min(end, s + 2)));
+        return all;
     }
 
     private static double stretch(Outcome o, int from, int to) {
@@ -296,7 +317,7 @@
     }
 
     private static Model with(Model m, double[] work, double[] cv, int retries) {
-        return new Model(m.site(), m.settle(), m.length(), m.controllerZones(), m.proxyZones(),
+        return new Model(m.site(), m.settle(), m.length(), m.rise(), m.controllerZones(), m.proxyZones(),
                 m.proxyWeights(),
                 m.machines(), m.notice(), m.sameZone(), m.crossZone(), m.rate(), m.shares(), work, cv,
                         retries,
--- a/src/main/java/rowanmoor/standin/BackendModel.java
+++ b/src/main/java/rowanmoor/standin/BackendModel.java
@@ -244,6 +244,12 @@
         return waiting.size();
     }
 
+    /** The same by a time at which nothing ends before it. */
+    public double busySeconds(long now) {
+        advance(now);
+        return busySeconds;
+    }
+
     /** Core-seconds in use since it was made. */
     public double busySeconds() {
         return busySeconds;
--- a/src/main/java/rowanmoor/standin/BackendServer.java
+++ b/src/main/java/rowanmoor/standin/BackendServer.java
@@ -47,6 +47,7 @@
     private Loop.Listener listener;
     private Timer next;
     private long number;
+    private long turnedAway;
     private double failing;
     private double lost;
     private double broken;
@@ -72,6 +73,7 @@
     private void listen() throws IOException {
         listener = loop.listen(at, Connection.Options.usual(), connection -> {
             if (connections.size() >= connectionsMost) {
+                turnedAway++;
                 return null;
             }
             connections.add(connection);
@@ -102,6 +104,11 @@
         return model;
     }
 
+    /** Connections that it did not take since it was made, because it held as many as it may. */
+    public long turnedAway() {
+        return turnedAway;
+    }
+
     // ---- troubles ------------------------------------------------------------------------------------
 
     /** The process dies: its address refuses, its connections break, its work is gone. */
--- a/src/test/java/rowanmoor/ArchitectureTest.java
+++ b/src/test/java/rowanmoor/ArchitectureTest.java
@@ -50,8 +50,9 @@
                         "discovery")
                 .whereLayer("standin").mayOnlyAccessLayers("core", "config", "net", "http", "discovery",
                         "proxy")
-                .whereLayer("emulator").mayOnlyAccessLayers("core", "config", "channel", "controller", "proxy")
-                .whereLayer("plan").mayOnlyAccessLayers("core", "config", "emulator")
+                .whereLayer("emulator").mayOnlyAccessLayers("core", "config", "channel", "controller", "discovery",
+                        "proxy")
+                .whereLayer("plan").mayOnlyAccessLayers("core", "config", "capture", "emulator")
                 .whereLayer("lab").mayNotBeAccessedByAnyLayer()
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
                 .ignoreDependency(com.tngtech.archunit.base.DescribedPredicate.describe("the command line",
--- a/src/test/java/rowanmoor/cli/MainTest.java
+++ b/src/test/java/rowanmoor/cli/MainTest.java
@@ -56,15 +56,38 @@
 
     @Test
     void allSamplesAreRight() throws IOException {
-        for (String folder : List.of("days", "conf")) {
+        for (String folder : List.of("days", "days/verify", "conf")) {
             try (Stream<Path> files = Files.list(Path.of(folder))) {
-                for (Path file : files.toList()) {
+                for (Path file : files.filter(Files::isRegularFile).toList()) {
                     assertEquals(0, run("check", file.toString()), file + ": " + err);
                 }
             }
         }
     }
 
+    @Test
+    void aPlanIsWrittenAsOnePageThatSaysWhenceItsFiguresCome(@TempDir Path dir) throws IOException {
+        assertEquals(0, run("plan", "days/verify/waiting-room.kdl", "--seconds", "6", "--seeds", "1", "--report",
+                dir.toString()), err.toString());
+        String page = Files.readString(dir.resolve("plan.html"));
+        for (String part : List.of("What breaks first", "slots and waiting room", "How many backends",
+                "zone north", "What would change the answer most", "work of preview", "waiting-room.kdl")) {
+            assertTrue(page.contains(part), part);
+        }
+        assertEquals(3, page.split("<svg").length - 1);
+    }
+
+    @Test
+    void forecastsAreWrittenDownAndThenHeldAgainstSteps(@TempDir Path dir) throws IOException {
+        assertEquals(0, run("plan", "--verify", "days/verify/waiting-room.kdl", "--simulated", "--seconds", "8",
+                "--service", "0.9", "--report", dir.toString()), err.toString());
+        assertTrue(Files.readString(dir.resolve("forecasts.json")).contains("\"sha256\""));
+        String said = out.toString();
+        assertTrue(said.indexOf("forecast: no waiting room") < said.indexOf("no waiting room: "), said);
+        assertTrue(Files.readString(dir.resolve("accuracy.txt")).contains("1 of 1 forecasts right"), said);
+        assertEquals(2, run("plan", "days/verify/even.kdl", "days/verify/confined.kdl"));
+    }
+
     @Test
     void everythingWrongWithAFileIsToldAtOnceWithItsPlace(@TempDir Path dir) throws IOException {
         Path bad = dir.resolve("bad.kdl");
--- a/src/test/java/rowanmoor/emulator/EmulatorTest.java
+++ b/src/test/java/rowanmoor/emulator/EmulatorTest.java
@@ -39,7 +39,7 @@
 
     /** One proxy, one backend, no way between them: a queue as the books have it. */
     private static Model queue(int cores, double rate, double work, double cv, long seconds) throws ConfigError {
-        return new Model(site("1h", "off"), SECOND, seconds * SECOND, List.of(0), new int[] {0}, new double[] {1},
+        return new Model(site("1h", "off"), SECOND, seconds * SECOND, 7 * SECOND, List.of(0), new int[] {0}, new double[] {1},
                 List.of(new Model.Machine(0, 0, 1, cores, 1, cores, 1 << 30, 0, 1, 0)), SECOND, 0, 0, rate,
                 new double[] {1, 0}, new double[] {work, work}, new double[] {cv, cv}, 0, 0, 1, List.of());
     }
@@ -95,7 +95,7 @@
         for (int b = 0; b < 10; b++) {
             machines.add(new Model.Machine(b % 2, 0, 2, 2, 1, 4, 20, 200, 0.25, 8 * SECOND));
         }
-        return new Model(site("2s", "rate"), 3 * SECOND, 40 * SECOND, List.of(0, 1), zones, weights, machines,
+        return new Model(site("2s", "rate"), 3 * SECOND, 40 * SECOND, 7 * SECOND, List.of(0, 1), zones, weights, machines,
                 SECOND, 200_000, 1_000_000, rate, new double[] {0.6, 0.4}, new double[] {0.1, 0.1},
                 new double[] {1, 1}, 1, 100_000_000, 0.9, troubles);
     }
--- a/src/test/java/rowanmoor/lab/FrameRelay.java
+++ b/src/test/java/rowanmoor/lab/FrameRelay.java
@@ -42,6 +42,11 @@
         });
     }
 
+    @Override
+    public java.util.List<rowanmoor.emulator.Outcome.ControllerMet> met() {
+        return real.met();
+    }
+
     @Override
     public void kill(int rank) {
         real.kill(rank);
--- /dev/null
+++ b/src/test/java/rowanmoor/plan/EstimatorTest.java
@@ -0,0 +1,125 @@
+package rowanmoor.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.apache.commons.math3.distribution.PoissonDistribution;
+import org.apache.commons.math3.random.Well19937c;
+import org.junit.jupiter.api.Test;
+import rowanmoor.capture.LoadRecord;
+import rowanmoor.config.ConfigError;
+import rowanmoor.emulator.Emulator;
+import rowanmoor.emulator.Model;
+
+/** Estimates from captures whose truth is known: they are made here, record by record. */
+class EstimatorTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final Runs RUNS = (m, seeds) -> seeds.parallelStream().map(s -> Emulator.play(m, s)).toList();
+    private static final double[] WORK = {0.05, 0.12};
+    private static final int PROXIES = 12;
+
+    private static Model model() throws ConfigError {
+        return PlannerTest.fleet(PlannerTest.site("2000/s", ""), PlannerTest.machines(10, 20, 0), 50,
+                new double[] {0.5, 0.5}, 0);
+    }
+
+    /** Reports of every second. {@code failing} of the seconds fail a third of their requests. */
+    private static List<LoadRecord> capture(int seconds, double cv, boolean failures, double repeats, int seed) {
+        Random random = new Random(seed);
+        Well19937c poisson = new Well19937c(seed);
+        double[] weights = new double[PROXIES];
+        Arrays.setAll(weights, p -> Math.exp(0.5 * random.nextGaussian()));
+        double sum = Arrays.stream(weights).sum();
+        List<LoadRecord> records = new ArrayList<>();
+        records.add(new LoadRecord.Start(0, 0, 0, 1, List.of("a", "b"), List.of("k", "l"), List.of("read", "pay")));
+        records.add(new LoadRecord.Listed(0, "127.0.0.1:1", 0, 0, "READY", 2, 0));
+        long[] before = new long[PROXIES];
+        for (int s = 0; s < seconds; s++) {
+            // Load comes and goes; every third stretch of 4 s has failures, if there are any.
+            double load = 60 + 30 * Math.sin(s / 9.0);
+            boolean bad = failures && s / 4 % 3 == 0;
+            for (int p = 0; p < PROXIES; p++) {
+                long at = s * SECOND + p * SECOND / PROXIES;
+                long tries = 0;
+                long failed = 0;
+                double work = 0;
+                for (int c = 0; c < 2; c++) {
+                    double mean = load * weights[p] / sum / 2;
+                    int first = mean < 1e-9 ? 0 : new PoissonDistribution(poisson, mean, 1e-9, 10000).sample();
+                    long came = first + (c == 0 ? Math.round(repeats * before[p]) : 0);
+                    long lost = bad ? came / 3 + (came % 3 > 0 && random.nextInt(3) < came % 3 ? 1 : 0) : 0;
+                    for (long r = lost; r < came; r++) {
+                        work += draw(random, WORK[c], cv);
+                    }
+                    tries += came;
+                    failed += lost;
+                    records.add(new LoadRecord.Use(at, p, p % 2, c, came, lost, SECOND));
+                }
+                before[p] = failed;
+                records.add(new LoadRecord.Tried(at, p, p % 2, "127.0.0.1:1", tries, failed,
+                        Math.round(work * SECOND), SECOND));
+            }
+        }
+        return records;
+    }
+
+    private static double draw(Random random, double mean, double cv) {
+        return cv == 0 ? mean : -Math.log(1 - random.nextDouble()) * mean;
+    }
+
+    private static Estimator.Estimate of(Estimator.Estimated found, String what) {
+        return found.estimates().stream().filter(e -> e.what().equals(what)).findFirst().orElseThrow();
+    }
+
+    private static void holds(Estimator.Estimate e, double truth, double widest) {
+        assertTrue(e.low() <= truth && truth <= e.high(), e + " does not hold " + truth);
+        assertTrue(e.high() - e.low() <= widest, e + " says little");
+    }
+
+    @Test
+    void rateMixWorkAndSpreadLieInTheirIntervals() throws ConfigError {
+        Estimator.Estimated found = new Estimator(model(), RUNS, 1).from(capture(400, 1, false, 0, 12));
+        holds(of(found, "requests that came"), 60, 10);
+        holds(of(found, "share of pay"), 0.5, 0.02);
+        // Latencies here hold no waiting; the emulator at this load finds next to none to take off.
+        holds(of(found, "work of read"), 50, 25);
+        holds(of(found, "work of pay"), 120, 30);
+        holds(of(found, "spread of work"), 1, 0.3);
+        holds(of(found, "spread of what proxies get"), 0.5, 0.8);
+        assertEquals(PROXIES, found.model().proxyWeights().length);
+        assertEquals(of(found, "work of pay").value(), 1000 * found.model().work()[1], 1e-6);
+    }
+
+    @Test
+    void fixedWorkIsToldFromExponential() throws ConfigError {
+        Estimator.Estimated found = new Estimator(model(), RUNS, 1).from(capture(400, 0, false, 0, 7));
+        assertTrue(of(found, "spread of work").high() < 0.5, found.estimates().toString());
+    }
+
+    @Test
+    void clientsRepeatsAreTakenOffTheRate() throws ConfigError {
+        Estimator.Estimated found = new Estimator(model(), RUNS, 1).from(capture(400, 1, true, 0.8, 7));
+        Estimator.Estimate repeats = of(found, "requests more for each failure");
+        assertTrue(repeats.low() > 0 && repeats.low() <= 0.8 && repeats.high() >= 0.6, repeats.toString());
+        assertTrue(found.model().rate() < 0.95 * of(found, "requests that came").value());
+        Estimator.Estimated none = new Estimator(model(), RUNS, 1).from(capture(400, 1, false, 0, 12));
+        assertTrue(none.notes().stream().anyMatch(n -> n.contains("too few failures")));
+    }
+
+    @Test
+    void anEmptyOrShortCaptureLeavesTheFilesFiguresAndSaysSo() throws ConfigError {
+        Estimator.Estimated empty = new Estimator(model(), RUNS, 1).from(List.of());
+        assertEquals(0, empty.model().rate());
+        assertFalse(empty.notes().isEmpty());
+        Estimator.Estimated brief = new Estimator(model(), RUNS, 1).from(capture(13, 1, false, 0, 7));
+        assertEquals(0.2, brief.model().work()[1]);
+        assertTrue(brief.notes().stream().anyMatch(n -> n.contains("too little quiet time")),
+                brief.notes().toString());
+    }
+}
--- a/src/test/java/rowanmoor/plan/PlannerTest.java
+++ b/src/test/java/rowanmoor/plan/PlannerTest.java
@@ -20,7 +20,7 @@
     private static final long SECOND = 1_000_000_000L;
     private static final Runs RUNS = (m, seeds) -> seeds.parallelStream().map(s -> Emulator.play(m, s)).toList();
 
-    private static Site site(String pace, String payKinds) throws ConfigError {
+    static Site site(String pace, String payKinds) throws ConfigError {
         return Site.of(Section.parse("test.kdl", """
                 site {
                     zones "a" "b"
@@ -46,17 +46,17 @@
         return new Model.Machine(zone, kind, 2, 2, 1, 4, queue, connections, 0.25, 8 * SECOND);
     }
 
-    private static Model fleet(Site site, List<Model.Machine> machines, double rate, double[] shares, int retries) {
+    static Model fleet(Site site, List<Model.Machine> machines, double rate, double[] shares, int retries) {
         int[] zones = new int[20];
         Arrays.setAll(zones, p -> p % 2);
         double[] weights = new double[20];
         Arrays.fill(weights, 1);
-        return new Model(site, 3 * SECOND, 20 * SECOND, List.of(0, 1), zones, weights, machines, SECOND, 200_000,
+        return new Model(site, 3 * SECOND, 20 * SECOND, 7 * SECOND, List.of(0, 1), zones, weights, machines, SECOND, 200_000,
                 1_000_000, rate, shares, new double[] {0.1, 0.2}, new double[] {1, 1}, retries, 50_000_000, 0.9,
                 List.of());
     }
 
-    private static List<Model.Machine> machines(int count, int queue, int connections) {
+    static List<Model.Machine> machines(int count, int queue, int connections) {
         List<Model.Machine> all = new ArrayList<>();
         for (int b = 0; b < count; b++) {
             all.add(machine(b % 2, 0, queue, connections));
