Experiments search, compare fleets and mixes, and run live; steadier trials of forecasts

A step that fails is played once more before it ends a trial. A waiting room is named first only if cores had room to spare. A jam that clients' repeats keep up after a zone is back has a test.

--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -228,19 +229,29 @@
         return played.passed() ? 0 : 1;
     }
 
-    @Command(name = "experiment", description = "Plays a grid of rates, backends and seeds in the emulator.")
+    @Command(name = "experiment",
+            description = "Plays a grid of fleets, mixes, rates and seeds, or searches it.")
     int experiment(@Parameters(paramLabel = "FILE") Path file,
             @Option(names = "--store", defaultValue = "results.mv",
                     description = "keeps results for reruns") Path
                     store,
             @Option(names = "--report", paramLabel = "DIR",
-                    description = "writes CSV and a chart") Path report)
+                    description = "writes CSV and a chart") Path report,
+            @Option(names = "--live",
+                    description = "on stand-ins, proxies and controllers that run here") boolean live)
             throws ConfigError, IOException {
         PrintWriter err = spec.commandLine().getErr();
-        Experiment.Grid grid = Experiment.read(file).run(store, line -> {
+        Consumer<String> progress = line -> {
             err.print("\r" + line);
             err.flush();
-        });
+        };
+        Experiment asked = Experiment.read(file);
+        if (live && System.getProperty(LOG_LEVEL) == null) {
+            System.setProperty(LOG_LEVEL, "OFF");
+        }
+        Experiment.Grid grid = live ? asked.runLive(store, Files.createTempDirectory("rowanmoor-live"),
+                progress)
+                : asked.run(store, progress);
         err.println();
         out().print(Experiment.table(grid));
         out().flush();
--- a/src/main/java/rowanmoor/emulator/Emulator.java
+++ b/src/main/java/rowanmoor/emulator/Emulator.java
@@ -200,7 +200,9 @@
             startController(c, choices.nextLong());
         }
         for (int p = 0; p < proxies; p++) {
-            agenda.add(START + (long) (choices.nextDouble() * MILLI * 500), JOIN, p, p % controllers);
+            // Controllers are dealt within a zone, so that each has proxies of all zones.
+            int first = p / model.site().zones().size() % controllers;
+            agenda.add(START + (long) (choices.nextDouble() * MILLI * 500), JOIN, p, first);
             agenda.add(START + (long) (choices.nextDouble() * model.site().period()), REPORT, p, 0);
         }
         for (int t = 0; t < model.troubles().size(); t++) {
@@ -560,7 +562,7 @@
     }
 
     private void disconnect(int p, int b, boolean kept) {
-        if (idle != null && kept) {
+        if (idle != null && kept && routers[p].uses(backends[b])) {
             int place = p * stations.length + b;
             int its = freeIdle;
             if (its >= 0) {
@@ -923,6 +925,9 @@
             routers[p].heed(snapshot);
         } else if (sent.frame() instanceof Frame.Update update
                 && routers[p].heed(update) == Router.Heed.DONE) {
+            if (idle != null) {
+                dropIdle(p); // connections to backends that no table names any more are closed at once
+            }
             for (Frame.Order order : update.orders()) {
                 if (order instanceof Frame.Mark mark) {
                     agenda.add(now + model.sameZone(), HEARD, p, parcel(new Frame.Applied(update.epoch(),
--- a/src/main/java/rowanmoor/lab/DayFile.java
+++ b/src/main/java/rowanmoor/lab/DayFile.java
@@ -185,6 +185,49 @@
                 Map.of());
     }
 
+    /** Another rate, length and mix, so many backends in the same proportions, with or without troubles. */
+    public DayFile variant(double otherRate, long otherLength, double[] otherShares, int backends,
+            boolean withTroubles) {
+        return new DayFile(name, seed, otherLength, settle, site, controllerZones, proxies, proxySkew,
+                sized(backends), notice, rosterWait, emptyHold, otherRate, rise, swing, swingOver,
+                        otherShares,
+                work, habits, withTroubles ? troubles : List.of(), Map.of());
+    }
+
+    /** So many backends, dealt to groups in proportion: what rounding leaves goes to the largest rests. */
+    private List<Group> sized(int backends) {
+        int now = backendCount();
+        if (backends == now) {
+            return groups;
+        }
+        int[] counts = new int[groups.size()];
+        double[] rests = new double[groups.size()];
+        int dealt = 0;
+        for (int g = 0; g < counts.length; g++) {
+            double exact = groups.get(g).count() * (double) backends / now;
+            counts[g] = (int) exact;
+            rests[g] = exact - counts[g];
+            dealt += counts[g];
+        }
+        for (; dealt < backends; dealt++) {
+            int most = 0;
+            for (int g = 1; g < rests.length; g++) {
+                most = rests[g] > rests[most] ? g : most;
+            }
+            counts[most]++;
+            rests[most] = -1;
+        }
+        List<Group> all = new ArrayList<>();
+        for (int g = 0; g < counts.length; g++) {
+            Group its = groups.get(g);
+            if (counts[g] > 0) {
+                all.add(new Group(its.kind(), its.zone(), counts[g], its.weight(), its.connections(),
+                        its.spec()));
+            }
+        }
+        return List.copyOf(all);
+    }
+
     /** How many backends there are. */
     public int backendCount() {
         return groups.stream().mapToInt(Group::count).sum();
--- a/src/main/java/rowanmoor/plan/Diagnosis.java
+++ b/src/main/java/rowanmoor/plan/Diagnosis.java
@@ -21,8 +21,9 @@
     private static final double TURNED_AWAY = 0.01;
     /** Part of cores' time in use, from which cores are at their limit: queues grow without bound near 1. */
     private static final double BUSY = 0.9;
-    /** Part of cores' time in use, up to which there is room to spare in them. */
-    private static final double ROOMY = 0.8;
+    /** Up to this part of cores' time in use there is room to spare in them; from the other there is none. */
+    private static final double ROOMY = 0.7;
+    private static final double IN_USE = 0.8;
     private static final double UNEVEN = 1.25;
 
     private Diagnosis() { }
@@ -50,7 +51,7 @@
             // the cores' own, unless cores were idle for much of the time and bursts alone filled it.
             boolean slotsUseCores = members.stream().map(model.machines()::get)
                     .allMatch(m -> m.slots() >= m.cores());
-            double room = Math.max(0, Math.min(1, (BUSY - busy) / (BUSY - ROOMY)));
+            double room = Math.max(0, Math.min(1, (IN_USE - busy) / (IN_USE - ROOMY)));
             double damp = slotsUseCores ? room : 1;
             double fullPart = tries == 0 ? 0 : full / tries;
             double nonePart = tries == 0 ? 0 : none / tries;
--- a/src/main/java/rowanmoor/plan/Trial.java
+++ b/src/main/java/rowanmoor/plan/Trial.java
@@ -8,7 +8,9 @@
  * to stop and what the verdict is are chosen here; whoever plays the steps has no say in it.
  *
  * <p>The first step is well below the forecast, each next one higher by a fixed part, until the goal fails.
- * If it fails at the first, the steps go down until it holds. The breaking rate lies between the two steps
+ * If it fails at the first, the steps go down until it holds. A step at which it fails is played once more,
+ * and the mean of both counts: else the first bad chance on the way up would end the trial. The breaking
+ * rate lies between the two steps
  * next to the failure: where a straight line through their services crosses the goal.
  */
 public final class Trial {
@@ -29,12 +31,13 @@
     /** Part of the seen rate by which a forecast may be off. */
     private static final double TOLERANCE = 0.15;
     /** Two places pressed nearly as hard as one another count as one: which is first is chance. */
-    private static final double TIED = 0.9;
+    private static final double TIED = 0.75;
 
     private final Forecast forecast;
     private final Goal goal;
     private final double usual;
     private final List<Step> steps = new ArrayList<>();
+    private boolean again;
 
     /** @param usual where steps begin if the forecast is that the goal fails at any rate */
     public Trial(Forecast forecast, Goal goal, double usual) {
@@ -57,6 +60,9 @@
             return forecast.rate().mean() > 0 ? FIRST * forecast.rate().mean() : usual;
         }
         Step last = steps.get(steps.size() - 1);
+        if (!last.kept() && !again) {
+            return last.rate();
+        }
         boolean down = !steps.get(0).kept();
         if (last.kept() == down || steps.size() >= STEPS_MOST) {
             return 0;
@@ -65,7 +71,15 @@
     }
 
     public void played(Step step) {
-        steps.add(step);
+        Step last = steps.isEmpty() ? null : steps.get(steps.size() - 1);
+        again = last != null && last.rate() == step.rate();
+        if (again) {
+            double mean = (last.service() + step.service()) / 2;
+            boolean kept = mean >= goal.service();
+            steps.set(steps.size() - 1, new Step(step.rate(), mean, kept, last.findings()));
+        } else {
+            steps.add(step);
+        }
     }
 
     /** The verdict; once {@link #next} is 0. */
--- a/src/test/java/rowanmoor/lab/ExperimentTest.java
+++ b/src/test/java/rowanmoor/lab/ExperimentTest.java
@@ -46,6 +46,34 @@
         assertTrue(Files.size(dir.resolve("out/service.svg")) > 1000);
     }
 
+    @Test
+    void aSearchFindsWhereEachVariantFailsAndARerunPlaysNothing() throws IOException, ConfigError {
+        file("\"50/s\"");
+        Path file = dir.resolve("s.kdl");
+        Files.writeString(file, """
+                experiment "s" {
+                    fleet "day.kdl"
+                    length "6s"
+                    backends 10 20
+                    mix "a, b" { class "preview" { share 1 } }
+                    search { from "50/s"; to "2000/s"; service 0.9; within 0.1 }
+                    seeds 1
+                }
+                """);
+        Path store = dir.resolve("s.mv");
+        Experiment.Grid grid = Experiment.read(file).run(store, line -> { });
+        double[] found = grid.found().values().stream().mapToDouble(v -> v).toArray();
+        assertEquals(2, found.length);
+        assertTrue(found[0] > 200 && found[1] > 1.5 * found[0] && found[1] < 2000, Experiment.table(grid));
+        assertEquals(0, Experiment.read(file).run(store, line -> { }).played());
+        Experiment.write(grid, dir.resolve("out"));
+        assertTrue(Files.readString(dir.resolve("out/experiment.csv")).contains("\"a, b\""));
+        Files.writeString(file, "experiment \"s\" { fleet \"day.kdl\"; rates \"5/s\"; troubles \"some\"; "
+                + "search { from \"5/s\"; to \"5/s\"; service 1 } }");
+        ConfigError error = assertThrows(ConfigError.class, () -> Experiment.read(file));
+        assertEquals(3, error.problems().size(), error.problems().toString());
+    }
+
     @Test
     void aFileThatIsNoStoreIsRefusedAndLeftAsItIs() throws IOException, ConfigError {
         Path store = dir.resolve("r.mv");
--- a/src/test/java/rowanmoor/plan/PlannerTest.java
+++ b/src/test/java/rowanmoor/plan/PlannerTest.java
@@ -142,6 +142,21 @@
         assertTrue(with < without, with + " with repeats, " + without + " without");
     }
 
+    @Test
+    void clientsRetriesTurnALossIntoAJamThatStaysAfterIt() throws ConfigError {
+        // Tries are given up after 0.45 s, and what runs runs on: repeats are work for nothing.
+        Model calm = fleet(site("2000/s", ""), machines(10, 60, 0), 100, READS, 0).length(60 * SECOND);
+        Model m = fleet(site("2000/s", ""), machines(10, 60, 0), 100, READS, 6).length(60 * SECOND);
+        Model eager = new Model(m.site(), m.settle(), m.length(), m.rise(), m.controllerZones(), m.proxyZones(),
+                m.proxyWeights(), m.machines(), m.notice(), m.sameZone(), m.crossZone(), m.rate(), m.shares(),
+                m.work(), m.cv(), m.retries(), m.backoff(), 0.3, m.troubles());
+        Planner.Loss without = planner(0.9).losses(calm, 15 * SECOND, 12 * SECOND).get(0);
+        Planner.Loss with = planner(0.9).losses(eager, 15 * SECOND, 12 * SECOND).get(0);
+        assertTrue(without.recovery() >= 0 && !without.jammed(), without.toString());
+        assertTrue(with.before() > 0.9, with.toString());
+        assertTrue(with.jammed(), with.toString());
+    }
+
     @Test
     void enoughBackendsHoldOnSeedsThatTheSearchDidNotSee() throws ConfigError {
         Model model = fleet(site("2000/s", ""), machines(10, 20, 0), 150, READS, 0);
--- a/src/test/java/rowanmoor/plan/TrialTest.java
+++ b/src/test/java/rowanmoor/plan/TrialTest.java
@@ -76,6 +76,16 @@
         assertFalse(trial.verdict().rateRight());
     }
 
+    @Test
+    void oneBadChanceOnTheWayUpDoesNotEndATrial() {
+        Trial trial = new Trial(new Trial.Forecast("fleet", Interval.of(List.of(100.0)), CORES), GOAL, 50);
+        trial.played(new Trial.Step(trial.next(), 0.85, false, CORES));
+        assertEquals(70, trial.next(), 1e-9);
+        trial.played(new Trial.Step(trial.next(), 0.97, true, CORES));
+        assertTrue(trial.steps().get(0).kept());
+        assertTrue(trial.next() > 70);
+    }
+
     @Test
     void aForecastOfFailureAtAnyRateBeginsAtTheUsualRate() {
         Trial trial = play(0, r -> 0.2, CORES.get(0));
