--- a/src/main/java/rowanmoor/emulator/Emulator.java
+++ b/src/main/java/rowanmoor/emulator/Emulator.java
@@ -82,6 +82,7 @@
     private final double[] busyBefore;
     private final double[] busyPart;
     private final double[] latencies;
+    private final double[] failing;
     private final double[] proxySums;
     private final double[] busyAtHeight;
     private long heightFrom;
@@ -160,6 +161,7 @@
         this.busyBefore = new double[count];
         this.busyPart = new double[count];
         this.latencies = new double[count];
+        this.failing = new double[count];
         this.busyAtHeight = new double[count];
         this.connections = new int[count];
         boolean bounded = model.machines().stream().anyMatch(m -> m.connections() > 0);
@@ -709,6 +711,10 @@
             agenda.add(back, NO_CONNECT, request, its);
             return;
         }
+        if (failing[b] > 0 && works.nextDouble() < failing[b]) {
+            agenda.add(back, LOST, request, its);
+            return;
+        }
         int job = takeJob(request, its);
         if (!station.offer(now, job, work[request])) {
             freeJobs[freeJobCount++] = job;
@@ -994,8 +1000,14 @@
                 for (int b : t.struck()) {
                     die(b);
                 }
-                tellAfterNotice(number, Listed.GONE);
+                tellAfter(model.notice(), number, Listed.GONE);
+            }
+            case BACKENDS_FAIL -> {
+                for (int b : t.struck()) {
+                    failing[b] = t.size();
+                }
             }
+            case BACKENDS_DRAIN -> tellAfter(0, number, Listed.DRAINING);
             case BACKENDS_SLOW -> {
                 for (int b : t.struck()) {
                     stations[b].slower(now, t.size());
@@ -1045,14 +1057,14 @@
         stations[b].restamp();
     }
 
-    private void tellAfterNotice(int number, Listed state) {
+    private void tellAfter(long notice, int number, Listed state) {
         Model.Trouble t = model.troubles().get(number);
         for (int b : t.struck()) {
             listed[b] = state; // takes effect for controllers when they are told
         }
         version++;
         for (int c = 0; c < drivers.length; c++) {
-            agenda.add(now + model.notice(), NOTICED, c, 0);
+            agenda.add(now + notice, NOTICED, c, 0);
         }
     }
 
@@ -1064,8 +1076,14 @@
                     stations[b].restart(now);
                     startedAt[b] = now;
                 }
-                tellAfterNotice(number, Listed.READY);
+                tellAfter(model.notice(), number, Listed.READY);
+            }
+            case BACKENDS_FAIL -> {
+                for (int b : t.struck()) {
+                    failing[b] = 0;
+                }
             }
+            case BACKENDS_DRAIN -> tellAfter(0, number, Listed.READY);
             case BACKENDS_SLOW -> {
                 for (int b : t.struck()) {
                     stations[b].slower(now, 1);
--- a/src/main/java/rowanmoor/emulator/Model.java
+++ b/src/main/java/rowanmoor/emulator/Model.java
@@ -41,8 +41,9 @@
     public record Machine(int zone, int kind, double weight, int cores, double speed, int slots, int queue,
             int connections, double coldFrom, long coldFor) { }
 
-    /** What goes wrong. */
-    public enum Kind { BACKENDS_DIE, BACKENDS_SLOW, CONTROLLER_DIES, ROSTER_DOWN, PROXIES_CUT, BURST }
+    /** What goes wrong. Failing backends answer a part of their requests with an error, at once. */
+    public enum Kind { BACKENDS_DIE, BACKENDS_SLOW, BACKENDS_FAIL, BACKENDS_DRAIN, CONTROLLER_DIES,
+            ROSTER_DOWN, PROXIES_CUT, BURST }
 
     /**
      * One trouble; {@code struck} are backends or proxies, or one controller; {@code size} the kind's
--- a/src/main/java/rowanmoor/lab/Models.java
+++ b/src/main/java/rowanmoor/lab/Models.java
@@ -65,6 +65,8 @@
             case CRASH -> made(Model.Kind.BACKENDS_DIE, t, sample(all, t.part(), random));
             case ZONE_LOSS -> made(Model.Kind.BACKENDS_DIE, t, zone);
             case SLOW -> made(Model.Kind.BACKENDS_SLOW, t, sample(all, t.part(), random));
+            case FAST_ERRORS -> made(Model.Kind.BACKENDS_FAIL, t, sample(all, t.part(), random));
+            case DRAIN -> made(Model.Kind.BACKENDS_DRAIN, t, sample(zone, t.part(), random));
             case CONTROLLER_KILL -> made(Model.Kind.CONTROLLER_DIES, t, new int[] {t.controller()});
             case ROSTER_DOWN -> made(Model.Kind.ROSTER_DOWN, t, new int[0]);
             case PROXIES_CUT -> made(Model.Kind.PROXIES_CUT, t, sample(proxies, t.part(), random));
