No proxy is bound before a backend was listed; the proxy streams both ways

The driver tells the module of proxies only once a backend was ever listed; until then a proxy keeps what it holds (test in ControllerTest). Picks are O(1) (alias method), a level that rises is no burst, a retry budget and a safe level out of reach of all controllers can be set. proxy-load measures it beside going straight.

--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -32,6 +32,7 @@
 import rowanmoor.lab.Models;
 import rowanmoor.lab.Played;
 import rowanmoor.lab.Player;
+import rowanmoor.lab.ProxyLoad;
 import rowanmoor.lab.Report;
 import rowanmoor.net.Loop;
 import rowanmoor.proxy.Proxy;
@@ -45,6 +46,8 @@
         subcommands = {CommandLine.HelpCommand.class, CaptureCommands.class, PlanCommand.class})
 public final class Commands {
 
+    private static final double WARM_SECONDS = 4;
+    private static final int STOP_SECONDS = 3700;
     static final String LOG_LEVEL = "rowanmoor.log.level";
 
     @Spec
@@ -140,7 +143,10 @@
         long epoch = System.currentTimeMillis() << 20 | new SplittableRandom().nextInt(1 << 20);
         Controller controller = new Controller(config, loop, seed == null ? epoch : seed, epoch,
                 System::currentTimeMillis);
-        runUntilStopped(loop, controller::stop, controller::closeFiles);
+        runUntilStopped(loop, then -> {
+            controller.stop();
+            then.run();
+        }, controller::closeFiles);
         return 0;
     }
 
@@ -161,7 +167,14 @@
             out().println("proxy " + config.number() + " listens on " + proxy.address());
         }
         out().flush();
-        runUntilStopped(loop, () -> proxies.forEach(Proxy::stop), tap == null ? () -> { } : tap);
+        runUntilStopped(loop, then -> {
+            int[] open = {proxies.size()};
+            proxies.forEach(p -> p.stop(() -> {
+                if (--open[0] == 0) {
+                    then.run();
+                }
+            }));
+        }, tap == null ? () -> { } : tap);
         return 0;
     }
 
@@ -170,18 +183,16 @@
     }
 
     /**
-     * Runs a loop on this thread. When the process is asked to end, what stops it has a fifth of a
-     * second, then the loop ends and the last things are done.
+     * Runs a loop on this thread. When the process is asked to end, what stops it says when it is done; its
+     * last words have a fifth of a second, then the loop ends and the last things are done.
      */
-    private static void runUntilStopped(Loop loop, Runnable stop, Closeable last) throws IOException {
+    private static void runUntilStopped(Loop loop, Consumer<Runnable> stop, Closeable last)
+            throws IOException {
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            loop.post(() -> {
-                stop.run();
-                loop.after(200_000_000L, loop::stop);
-            });
+            loop.post(() -> stop.accept(() -> loop.after(200_000_000L, loop::stop)));
             try {
-                ended.await(3, TimeUnit.SECONDS);
+                ended.await(STOP_SECONDS, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -315,6 +326,26 @@
         return found.failure() == null ? 0 : 1;
     }
 
+    @Command(name = "proxy-load",
+            description = "Measures what a proxy adds, on loopback sockets, beside going straight.")
+    int proxyLoad(@Option(names = "--lines", defaultValue = "16", split = ",") List<Integer> lines,
+            @Option(names = "--rates", defaultValue = "1000,4000", split = ",") List<Double> rates,
+            @Option(names = "--seconds", defaultValue = "5") double seconds)
+            throws IOException, ConfigError, InterruptedException {
+        for (int count : lines) {
+            ProxyLoad load = new ProxyLoad(count);
+            load.step(2000, WARM_SECONDS); // compiles, and is not counted
+            for (double rate : rates) {
+                out().println(load.step(rate, seconds));
+                out().flush();
+            }
+            load.close();
+            load.faults().forEach(f -> out().println("fault: " + f));
+        }
+        out().flush();
+        return 0;
+    }
+
     @Command(name = "replay",
             description = "Feeds a controller's trace to a new instance and compares orders.")
     int replay(@Parameters(paramLabel = "TRACE") Path trace) throws IOException {
--- a/src/main/java/rowanmoor/controller/Driver.java
+++ b/src/main/java/rowanmoor/controller/Driver.java
@@ -227,23 +227,35 @@
 
     private List<Event> gather(long now) {
         List<Event> events = new ArrayList<>(lists);
-        events.addAll(streams);
-        events.addAll(probes);
         lists.clear();
-        streams.clear();
+        if (knowsBackends()) {
+            events.addAll(streams);
+            streams.clear();
+            intake.release(now, events::add);
+        }
+        events.addAll(probes);
         probes.clear();
-        intake.release(now, events::add);
         while (!alarms.isEmpty() && alarms.peek().time() <= now) {
             events.add(new ControlApi.Timer(alarms.poll().token()));
         }
         return events;
     }
 
+    /**
+     * Whether a backend was ever listed. Before that the module hears of no proxy: it could bind one to an
+     * empty table only, in place of what the proxy holds and can work by.
+     */
+    private boolean knowsBackends() {
+        return !listed.isEmpty();
+    }
+
     /** When a tick is next due, if nothing more is heard. */
     public long nextAt() {
-        boolean heard = !started || !lists.isEmpty() || !streams.isEmpty() || !probes.isEmpty();
+        boolean heard = !started || !lists.isEmpty() || !streams.isEmpty() && knowsBackends()
+                || !probes.isEmpty();
         long alarm = alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek().time();
-        return heard ? Long.MIN_VALUE : Math.min(alarm, Math.min(intake.nextAt(), outbox.nextAt()));
+        long told = knowsBackends() ? intake.nextAt() : Long.MAX_VALUE;
+        return heard ? Long.MIN_VALUE : Math.min(alarm, Math.min(told, outbox.nextAt()));
     }
 
     private void carryOut(long now, List<Action> actions) {
--- a/src/main/java/rowanmoor/lab/Ground.java
+++ b/src/main/java/rowanmoor/lab/Ground.java
@@ -22,6 +22,7 @@
 import rowanmoor.discovery.Addresses;
 import rowanmoor.emulator.Outcome;
 import rowanmoor.net.Loop;
+import rowanmoor.proxy.Conduct;
 import rowanmoor.proxy.ProxyConfig;
 import rowanmoor.standin.BackendModel;
 import rowanmoor.standin.BackendServer;
@@ -139,7 +140,8 @@
             configs.add(new ProxyConfig(day.site(), p, "proxy-" + p, zone,
                     day.rate() * proxyWeightsMilli[p] / sum, anyPort(), zoneAddress(zone, p),
                     its.stream().map(Link::address).toList(), p / zones % its.size(), 300 * MILLI, 3 * SECOND,
-                    first.stream().map(Addresses::socket).toList(), 15 * SECOND, 250 * MILLI, 4096, 1 << 20));
+                    first.stream().map(Addresses::socket).toList(), 15 * SECOND, 250 * MILLI, 4096,
+                            Conduct.usual()));
         }
         return proxyHost.start(configs, standing, random.nextLong());
     }
--- a/src/main/java/rowanmoor/proxy/ChannelClient.java
+++ b/src/main/java/rowanmoor/proxy/ChannelClient.java
@@ -96,6 +96,7 @@
 
     @Override
     public void received(Connection its, ByteBuffer bytes) {
+        router.heard(loop.now());
         tap.read(config.number(), streams, loop.now(), bytes.duplicate());
         try {
             while (bytes.hasRemaining() && connection.isOpen()) {
--- a/src/main/java/rowanmoor/proxy/Proxy.java
+++ b/src/main/java/rowanmoor/proxy/Proxy.java
@@ -1,36 +1,34 @@
 package rowanmoor.proxy;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Iterator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.channel.Frame;
 import rowanmoor.discovery.Addresses;
 import rowanmoor.discovery.LoadColumns;
-import rowanmoor.http.ClientConnection;
+import rowanmoor.http.ClientStream;
 import rowanmoor.http.Fields;
 import rowanmoor.http.Limits;
-import rowanmoor.http.Message;
 import rowanmoor.http.Orca;
-import rowanmoor.http.ServerConnection;
+import rowanmoor.http.Part;
+import rowanmoor.http.ServerStream;
 import rowanmoor.net.Close;
 import rowanmoor.net.Connection;
 import rowanmoor.net.Loop;
-import rowanmoor.net.Timer;
 
 /**
- * Takes requests, forwards them by the tables, reports. Bodies are held whole, within a bound. A request that
- * cannot be served gets its final answer at once: refused by its level, no backend, a last try that failed,
- * its deadline.
+ * Takes requests, forwards them by the tables, reports. Content is passed on as it comes, no faster than the
+ * slower side takes it. A request that cannot be served gets its final answer at once: refused by its level
+ * or a bound, no backend, a last try that failed, its deadline.
  */
-public final class Proxy implements ServerConnection.Service {
+public final class Proxy implements ServerStream.Service {
 
     /** Set by a backend on a refusal: proof that it did nothing for this request. */
     public static final String NEVER_RAN = "x-never-ran";
@@ -38,9 +36,13 @@
     public static final String REASON = "x-rowanmoor";
     /** Names the proxy in what it sends to backends. */
     public static final String VIA = "x-rowanmoor-proxy";
+    /** Names a request through all its tries; made here if the client names none. */
+    public static final String ID = "x-request-id";
 
     private static final List<String> HOP_BY_HOP = List.of("connection", "keep-alive", "proxy-connection",
-            "te", "trailer", "transfer-encoding", "upgrade", "content-length");
+            "te", "transfer-encoding", "upgrade", "content-length");
+    private static final long WATCH_EVERY = 500_000_000L;
+    private static final long MILLI = 1_000_000L;
 
     private final ProxyConfig config;
     private final Loop loop;
@@ -48,10 +50,15 @@
     private final Tallies tallies;
     private final ChannelClient channel;
     private final LoadColumns columns;
-    private final Limits limits;
+    private final Limits limits = Limits.usual();
     private final Loop.Listener listener;
-    private final Map<Backend, ArrayDeque<ClientConnection>> idle = new TreeMap<>();
-    private int clients;
+    private final Pool<ClientStream> pool;
+    private final Set<ServerStream> clients = new LinkedHashSet<>();
+    private final Map<InetAddress, Integer> byAddress = new HashMap<>();
+    private final Set<Forward> working = new LinkedHashSet<>();
+    private final String idStem;
+    private long ids;
+    private Runnable stopped;
 
     /** Listens and calls its controller. */
     public Proxy(ProxyConfig config, Loop loop, Router router, RandomGenerator random, Tap tap)
@@ -61,24 +68,45 @@
         this.router = router;
         this.tallies = new Tallies(loop.now());
         this.columns = new LoadColumns(config.site().columns());
-        this.limits = Limits.usual().body(config.bodyMost());
-        this.listener = loop.listen(config.listen(), Connection.Options.usual()
-                .idleAfter(4 * config.idleFor()), this::accept);
-        this.channel = new ChannelClient(loop, config, router, random, tap, this::dropUnused);
+        this.pool = new Pool<>(new Ways(), conduct().perBackendMost(), conduct().idleMost());
+        this.idStem = config.number() + "-" + Long.toHexString(random.nextLong()) + "-";
+        this.listener = loop.listen(config.listen(), ServerStream.options().idleAfter(4 * config.idleFor()),
+                this::accept);
+        this.channel = new ChannelClient(loop, config, router, random, tap,
+                () -> pool.closeIdle(router::uses));
         // Proxies started together must not report together for good.
         loop.after((long) (config.site().period() * random.nextDouble()), this::report);
-        loop.after(config.idleFor(), this::dropIdle);
+        loop.after(config.idleFor() / 4 + 1, this::closeOld);
+        loop.after(WATCH_EVERY, this::watch);
         channel.call();
     }
 
     /** A proxy with a router of its own. */
     public static Proxy start(ProxyConfig config, Loop loop, RandomGenerator random, Tap tap)
             throws IOException {
-        Router router = new Router(config.site(), config.standing().stream().map(Addresses::backend).toList(),
+        Router router = new Router(config.site(), config.conduct(),
+                config.standing().stream().map(Addresses::backend).toList(),
                 random, loop.now());
         return new Proxy(config, loop, router, random, tap);
     }
 
+    private static final class Ways implements Pool.Ways<ClientStream> {
+        @Override
+        public boolean usable(ClientStream connection) {
+            return connection.free();
+        }
+
+        @Override
+        public long idleSince(ClientStream connection) {
+            return connection.idleSince();
+        }
+
+        @Override
+        public void close(ClientStream connection) {
+            connection.cancel();
+        }
+    }
+
     public InetSocketAddress address() {
         return listener.address();
     }
@@ -93,210 +121,125 @@
         return router.epoch() + "/" + router.version();
     }
 
-    public void stop() {
-        listener.close();
-        channel.stop();
+    /** Requests in work. */
+    public int inflight() {
+        return working.size();
     }
 
-    private ServerConnection accept(Connection connection) {
-        if (clients >= config.connectionsMost()) {
-            return null;
-        }
-        clients++;
-        return new ServerConnection(limits, this) {
-            @Override
-            public void closed(Connection its, Close why, String detail) {
-                clients--;
-                super.closed(its, why, detail);
-            }
-        };
+    /** Connections to backends, idle and in use. */
+    public int connections() {
+        return pool.open();
     }
 
-    private void report() {
-        if (channel.up()) {
-            Frame.Report report = tallies.report(loop.now());
-            if (!report.tallies().isEmpty() || !report.uses().isEmpty()) {
-                channel.report(report);
-            }
-        }
-        loop.after(config.site().period(), this::report);
+    /** Connections of clients. */
+    public int clients() {
+        return clients.size();
     }
 
-    // ---- requests ------------------------------------------------------------------------------------
-
-    @Override
-    public void request(Message.Request request, ServerConnection.Exchange exchange) {
-        int cls = config.site().classOf(request.path());
-        if (cls < 0) {
-            exchange.answer(own(404, "no class has this path"));
-            return;
-        }
-        tallies.came(cls);
-        if (!router.admits(cls, loop.now())) {
-            exchange.answer(own(503, "refused by its level"));
-            return;
+    /**
+     * Takes no more connections and closes those without a request in work; once the last answer is whole, or
+     * the bound for that is over, says goodbye to its controller and runs {@code then}.
+     */
+    public void stop(Runnable then) {
+        stopped = then;
+        listener.close();
+        List.copyOf(clients).forEach(ServerStream::stop);
+        loop.after(conduct().reloadWithin(), this::finishStop);
+        if (working.isEmpty()) {
+            finishStop();
         }
-        Work work = new Work(cls, request, exchange);
-        exchange.tag = work;
-        work.begin();
     }
 
-    @Override
-    public void abandoned(ServerConnection.Exchange exchange) {
-        if (exchange.tag instanceof Work work) {
-            work.giveUp();
+    private void finishStop() {
+        Runnable then = stopped;
+        stopped = null;
+        if (then != null) {
+            List.copyOf(working).forEach(Forward::giveUp);
+            reportNow(); // what was counted since the last one must not be lost
+            channel.stop();
+            then.run();
         }
     }
 
-    private static Message.Response own(int status, String why) {
-        return Message.Response.of(status, why + "\n", REASON, why, "Content-Type", "text/plain");
-    }
-
-    /** One request on its way: its tries, one after the other, within its deadline. */
-    private final class Work {
-        private final int cls;
-        private final Message.Request request;
-        private final ServerConnection.Exchange exchange;
-        private final Set<Backend> tried = new TreeSet<>();
-        private final long deadline;
-        private Timer patience;
-        private Timer tryPatience;
-        private ClientConnection connection;
-        private Backend backend;
-        private long sentAt;
-        private boolean over;
-
-        Work(int cls, Message.Request request, ServerConnection.Exchange exchange) {
-            this.cls = cls;
-            this.request = request;
-            this.exchange = exchange;
-            this.deadline = loop.now() + config.site().classes().get(cls).deadline();
-        }
+    // ---- what a request needs ------------------------------------------------------------------------
 
-        void begin() {
-            patience = loop.at(deadline, () -> {
-                failTry(false);
-                finish(own(504, "no answer before its deadline"), false);
-            });
-            tryOne();
-        }
+    long now() {
+        return loop.now();
+    }
 
-        private void tryOne() {
-            backend = router.pick(cls, tried, loop.now());
-            if (backend == null) {
-                finish(own(503, "no backend"), false);
-                return;
-            }
-            tried.add(backend);
-            router.sent(backend);
-            sentAt = loop.now();
-            connection = connection(backend);
-            long within = router.tryWithin(cls);
-            if (within > 0) {
-                tryPatience = loop.after(within, () -> failAndFollow(false, "no answer in time"));
-            }
-            ClientConnection asked = connection;
-            Backend to = backend;
-            connection.ask(forwarded(request, backend), new ClientConnection.Answer() {
-                @Override
-                public void answered(Message.Response response) {
-                    if (connection == asked) {
-                        connection = null;
-                        take(response);
-                        keep(to, asked);
-                    }
-                }
-
-                @Override
-                public void failed(boolean neverRan, Close why, String detail) {
-                    if (connection == asked) {
-                        connection = null;
-                        failAndFollow(neverRan, why + ": " + detail);
-                    }
-                }
-            });
-        }
+    Loop loop() {
+        return loop;
+    }
 
-        private void take(Message.Response response) {
-            boolean unrun = response.status() == 503 && response.fields().get(NEVER_RAN) != null;
-            boolean good = response.status() < 500;
-            endTry(good, columns.read(response.fields().get(Orca.FIELD)));
-            if (!good && router.mayFollow(cls, tried.size(), unrun, deadline - loop.now())) {
-                tryOne();
-            } else {
-                finish(backward(response), good);
-            }
-        }
+    Router router() {
+        return router;
+    }
 
-        /** A try without an answer. */
-        private void failAndFollow(boolean neverRan, String why) {
-            failTry(true);
-            if (router.mayFollow(cls, tried.size(), neverRan, deadline - loop.now())) {
-                tryOne();
-            } else {
-                finish(own(502, "the last try failed: " + why), false);
-            }
-        }
+    Tallies tallies() {
+        return tallies;
+    }
 
-        private void failTry(boolean all) {
-            if (connection != null) {
-                ClientConnection left = connection;
-                connection = null;
-                left.cancel();
-                endTry(false, List.of());
-            } else if (all) {
-                endTry(false, List.of());
-            }
-        }
+    Conduct conduct() {
+        return config.conduct();
+    }
 
-        private void endTry(boolean good, List<Double> load) {
-            if (tryPatience != null) {
-                tryPatience.cancel();
-            }
-            router.done(backend, good, loop.now());
-            tallies.tried(backend, good, loop.now() - sentAt, load);
+    LoadColumns columns() {
+        return columns;
+    }
+
+    /** A connection that is free, or a new one, or null if there are as many as may be. */
+    ClientStream connection(Backend backend) {
+        ClientStream kept = pool.take(backend);
+        if (kept != null || !pool.mayOpen(backend)) {
+            return kept;
         }
+        pool.opened(backend);
+        return ClientStream.open(loop, config.from(), Addresses.socket(backend),
+                ServerStream.options().connectWithin(config.connectWithin()), limits,
+                gone -> pool.gone(backend, gone));
+    }
 
-        private void finish(Message.Response response, boolean answered) {
-            if (over) {
-                return;
-            }
-            over = true;
-            patience.cancel();
-            if (!answered) {
-                tallies.unanswered(cls);
-            }
-            exchange.answer(response);
+    /** A request's answer was whole: its connection is kept if the tables still name its backend. */
+    void keep(Backend backend, ClientStream connection) {
+        if (router.uses(backend)) {
+            pool.keep(backend, connection);
+        } else {
+            connection.cancel();
         }
+    }
 
-        /** The client is gone: its try is cancelled and counts for nothing. */
-        void giveUp() {
-            over = true;
-            patience.cancel();
-            if (tryPatience != null) {
-                tryPatience.cancel();
-            }
-            if (connection != null) {
-                ClientConnection left = connection;
-                connection = null;
-                left.cancel();
-                router.done(backend, true, loop.now());
-            }
-            tallies.unanswered(cls);
+    void ended(Forward forward) {
+        working.remove(forward);
+        if (working.isEmpty() && stopped != null) {
+            loop.post(this::finishStop); // its answer's end is still to be written
         }
     }
 
-    private Message.Request forwarded(Message.Request request, Backend backend) {
-        Fields fields = endToEnd(request.fields());
+    /** An answer of the proxy's own. */
+    void own(ServerStream.Exchange exchange, int status, String why) {
+        exchange.answer(status, why + "\n", REASON, why, "Content-Type", "text/plain");
+    }
+
+    Part.RequestHead forwarded(Part.RequestHead head, Backend backend, long left) {
+        Fields fields = endToEnd(head.fields());
         fields.set("Host", backend.toString());
         fields.set(VIA, Integer.toString(config.number()));
-        return new Message.Request(request.method(), request.target(), 1, fields, request.body());
+        fields.add("Via", "1." + head.minor() + " " + config.name());
+        if (fields.get(ID) == null) {
+            fields.set(ID, idStem + ++ids);
+        }
+        fields.set(conduct().deadlineField(), Long.toString(Math.max(1, left / MILLI)));
+        return new Part.RequestHead(head.method(), head.target(), 1, fields, head.length());
     }
 
-    private static Message.Response backward(Message.Response response) {
-        Fields fields = endToEnd(response.fields());
+    static Part.ResponseHead backward(Part.ResponseHead head) {
+        Fields fields = endToEnd(head.fields());
+        String length = head.fields().get("content-length");
+        if (head.length() == 0 && length != null) {
+            fields.set("Content-Length", length); // of an answer to HEAD, or 304
+        }
         fields.remove(Orca.FIELD);
-        return new Message.Response(response.status(), response.reason(), 1, fields, response.body());
+        return new Part.ResponseHead(head.status(), head.reason(), 1, fields, head.length());
     }
 
     /** Without what belongs to one connection only (RFC 9110, 7.6.1). */
@@ -310,53 +253,104 @@
         return fields;
     }
 
-    // ---- connections to backends ---------------------------------------------------------------------
+    // ---- requests ------------------------------------------------------------------------------------
 
-    private ClientConnection connection(Backend backend) {
-        ArrayDeque<ClientConnection> free = idle.get(backend);
-        while (free != null && !free.isEmpty()) {
-            ClientConnection last = free.pollLast();
-            if (last.free()) {
-                return last;
-            }
+    private ServerStream accept(Connection connection) {
+        InetAddress from = connection.remote().getAddress();
+        int its = byAddress.getOrDefault(from, 0);
+        if (clients.size() >= config.connectionsMost() || its >= conduct().perClientMost()) {
+            return null;
         }
-        return ClientConnection.open(loop, config.from(), Addresses.socket(backend),
-                Connection.Options.usual().connectWithin(config.connectWithin()), limits,
-                        c -> forget(backend, c));
+        byAddress.put(from, its + 1);
+        ServerStream stream = new ServerStream(loop, limits, conduct().headWithin(), this) {
+            @Override
+            public void closed(Connection itsConnection, Close why, String detail) {
+                clients.remove(this);
+                byAddress.computeIfPresent(from, (a, n) -> n == 1 ? null : n - 1);
+                super.closed(itsConnection, why, detail);
+            }
+        };
+        clients.add(stream);
+        return stream;
     }
 
-    private void keep(Backend backend, ClientConnection connection) {
-        if (connection.free() && router.uses(backend)) {
-            idle.computeIfAbsent(backend, b -> new ArrayDeque<>()).addLast(connection);
-        } else {
-            connection.cancel();
+    @Override
+    public void begun(ServerStream.Exchange exchange) {
+        Part.RequestHead head = exchange.head();
+        int cls = config.site().classOf(head.path());
+        if (cls < 0) {
+            own(exchange, 404, "no class has this path");
+            return;
         }
+        tallies.came(cls);
+        if (!router.admits(cls, loop.now())) {
+            refuse(exchange, "refused by its level");
+            return;
+        }
+        if (working.size() >= conduct().inflightMost()) {
+            tallies.unanswered(cls);
+            refuse(exchange, "as many requests in work as may be");
+            return;
+        }
+        long within = config.site().classes().get(cls).deadline();
+        String stated = head.fields().get(conduct().deadlineField());
+        if (stated != null) {
+            long millis = millis(stated);
+            if (millis < 0) {
+                tallies.unanswered(cls);
+                own(exchange, 400, conduct().deadlineField() + " is not a number of milliseconds");
+                return;
+            }
+            within = Math.min(within, millis * MILLI);
+        }
+        Forward forward = new Forward(this, cls, exchange, within);
+        exchange.tag = forward;
+        working.add(forward);
+        forward.begin();
+    }
+
+    private static long millis(String text) {
+        return text.matches("[0-9]{1,9}") ? Long.parseLong(text) : -1;
     }
 
-    private void forget(Backend backend, ClientConnection connection) {
-        ArrayDeque<ClientConnection> free = idle.get(backend);
-        if (free != null) {
-            free.remove(connection);
+    private void refuse(ServerStream.Exchange exchange, String why) {
+        exchange.answer(conduct().refusal(), why + "\n", REASON, why, "Content-Type", "text/plain",
+                "Retry-After", Integer.toString(conduct().retryAfter()));
+    }
+
+    @Override
+    public void gone(ServerStream.Exchange exchange) {
+        if (exchange.tag instanceof Forward forward) {
+            forward.giveUp();
         }
     }
 
-    /** Connections to backends that no table names any more are closed. */
-    private void dropUnused() {
-        List.copyOf(idle.keySet()).stream().filter(b -> !router.uses(b)).forEach(backend ->
-                List.copyOf(idle.remove(backend)).forEach(ClientConnection::cancel));
+    // ---- now and then --------------------------------------------------------------------------------
+
+    private void watch() {
+        long now = loop.now();
+        List.copyOf(working).forEach(f -> f.watch(now));
+        loop.after(WATCH_EVERY, this::watch);
+    }
+
+    private void closeOld() {
+        pool.closeOld(loop.now() - config.idleFor());
+        loop.after(config.idleFor() / 4 + 1, this::closeOld);
     }
 
-    private void dropIdle() {
-        long before = loop.now() - config.idleFor();
-        for (ArrayDeque<ClientConnection> free : idle.values()) {
-            for (Iterator<ClientConnection> all = List.copyOf(free).iterator(); all.hasNext();) {
-                ClientConnection connection = all.next();
-                if (connection.idleSince() < before) {
-                    free.remove(connection);
-                    connection.cancel();
-                }
+    private void report() {
+        reportNow();
+        loop.after(config.site().period(), this::report);
+    }
+
+    /** What a stream does not take is told with the next report: counts are exact. */
+    private void reportNow() {
+        if (channel.up()) {
+            Frame.Report report = tallies.report(loop.now());
+            boolean empty = report.tallies().isEmpty() && report.uses().isEmpty();
+            if (!empty && !channel.report(report)) {
+                tallies.putBack(report);
             }
         }
-        loop.after(config.idleFor() / 4 + 1, this::dropIdle);
     }
 }
--- a/src/main/java/rowanmoor/proxy/ProxyConfig.java
+++ b/src/main/java/rowanmoor/proxy/ProxyConfig.java
@@ -19,12 +19,13 @@
  * @param silentAfter a stream on which nothing is heard for so long has broken, ns
  * @param standing backends used until a controller says otherwise
  * @param idleFor a connection to a backend that is not used for so long is closed, ns
+ * @param connectionsMost connections of clients
  * @param connectWithin how long a backend may take to accept a connection, ns
  */
 public record ProxyConfig(Site site, int number, String name, int zone, double rate, InetSocketAddress listen,
         InetSocketAddress from, List<InetSocketAddress> controllers, int firstController, long redial,
         long silentAfter, List<InetSocketAddress> standing, long idleFor, long connectWithin,
-        int connectionsMost, int bodyMost) {
+        int connectionsMost, Conduct conduct) {
 
     /** All {@code proxy} blocks of a file; one process may run several. */
     public static List<ProxyConfig> read(Path file) throws ConfigError {
@@ -58,7 +59,7 @@
                 p.duration("silent-after", "200ms", "60s", "3s"), p.addresses("standing", true),
                 p.duration("idle-for", "100ms", "1h", "15s"),
                 p.duration("connect-within", "1ms", "60s", "250ms"),
-                p.whole("connections-most", 1, 1 << 20, 4096), p.whole("body-most", 1, 1 << 30, 1 << 20));
+                p.whole("connections-most", 1, 1 << 20, 4096), Conduct.of(p));
         p.finish();
         return config;
     }
--- a/src/main/java/rowanmoor/proxy/Router.java
+++ b/src/main/java/rowanmoor/proxy/Router.java
@@ -40,6 +40,10 @@
     /** No try follows with less of the deadline left than this part of it. */
     private static final double LEAST_LEFT = 0.1;
     private static final double SECOND = 1e9;
+    /** Tries that may follow at once after a quiet time, from a budget that is a part of first tries. */
+    private static final double BUDGET_MOST = 10;
+    /** Draws that may meet a line that is shunned or was tried, before all lines are looked through. */
+    private static final int DRAWS_MOST = 8;
 
     private static final class Table {
         private final TreeMap<Backend, Double> lines = new TreeMap<>();
@@ -58,7 +62,11 @@
     }
 
     private final Site site;
+    private final Conduct conduct;
     private final RandomGenerator random;
+    private final double[] levelBefore;
+    private double budget;
+    private long heardAt;
     private final Table standing;
     private final Table[] held;
     private final TreeMap<Integer, Table> tables = new TreeMap<>();
@@ -75,6 +83,17 @@
 
     /** @param standingTable backends used, evenly, for every class until a controller says otherwise */
     public Router(Site site, Collection<Backend> standingTable, RandomGenerator random, long now) {
+        this(site, Conduct.usual(), standingTable, random, now);
+    }
+
+    /** @param conduct its retry budget, lease and safe level count here */
+    public Router(Site site, Conduct conduct, Collection<Backend> standingTable, RandomGenerator random,
+            long now) {
+        this.conduct = conduct;
+        this.budget = BUDGET_MOST;
+        this.heardAt = now;
+        this.levelBefore = new double[site.classes().size()];
+        Arrays.fill(levelBefore, Double.POSITIVE_INFINITY);
         int classes = site.classes().size();
         this.site = site;
         this.random = random;
@@ -219,14 +238,30 @@
         double level = Double.POSITIVE_INFINITY;
         level = overall[cls] == null ? level : Math.min(level, overall[cls].level());
         level = held[cls].levels[cls] == null ? level : Math.min(level, held[cls].levels[cls].level());
+        if (conduct.safeLevel() >= 0 && now - heardAt > conduct.lease()) {
+            return earned(within(cls, Math.min(rate(level), conduct.safeLevel()), now));
+        }
         if (site.admission() == Admission.OFF || Double.isInfinite(level)) {
-            return true;
+            levelBefore[cls] = Double.POSITIVE_INFINITY;
+            return earned(true);
         }
         if (site.admission() == Admission.SHARE) {
-            return level >= 1 || random.nextDouble() < level;
+            return earned(level >= 1 || random.nextDouble() < level);
         }
+        return earned(within(cls, level, now));
+    }
+
+    /** A level as a rate: where levels are shares or off, they bound no rate. */
+    private double rate(double level) {
+        return site.admission() == Admission.RATE ? level : Double.POSITIVE_INFINITY;
+    }
+
+    /** A bucket that fills at the lower of two levels while one follows the other: a rise is no burst. */
+    private boolean within(int cls, double level, long now) {
         double most = Math.max(1, level * BURST);
-        credit[cls] = Math.min(most, credit[cls] + level * (now - creditAt[cls]) / SECOND);
+        double fill = Math.min(level, levelBefore[cls]);
+        levelBefore[cls] = level;
+        credit[cls] = Math.min(most, credit[cls] + fill * (now - creditAt[cls]) / SECOND);
         creditAt[cls] = now;
         if (credit[cls] < 1) {
             return false;
@@ -235,12 +270,26 @@
         return true;
     }
 
+    private boolean earned(boolean admitted) {
+        if (admitted) {
+            budget = Math.min(BUDGET_MOST, budget + conduct.retryBudget());
+        }
+        return admitted;
+    }
+
+    /** A controller was heard: levels and tables stand for another lease. */
+    public void heard(long now) {
+        heardAt = now;
+    }
+
     /** A class's lines that are not withdrawn, laid out so that a pick allocates nothing. */
     private static final class Choices {
         private final Backend[] backends;
         private final double[] weights;
         private final Path[] paths;
         private final double[] turns;
+        private int[] alias;
+        private double[] keeps;
 
         Choices(int count) {
             backends = new Backend[count];
@@ -249,6 +298,49 @@
             turns = new double[count];
         }
 
+        /** Lays lines out so that a draw looks at two of them (Vose's alias method). */
+        void settle() {
+            int n = backends.length;
+            alias = new int[n];
+            keeps = new double[n];
+            double sum = 0;
+            for (double weight : weights) {
+                sum += weight;
+            }
+            int[] small = new int[n];
+            int[] large = new int[n];
+            int smalls = 0;
+            int larges = 0;
+            for (int i = 0; i < n; i++) {
+                keeps[i] = weights[i] * n / sum;
+                alias[i] = i;
+                if (keeps[i] < 1) {
+                    small[smalls++] = i;
+                } else {
+                    large[larges++] = i;
+                }
+            }
+            while (smalls > 0 && larges > 0) {
+                int less = small[--smalls];
+                int more = large[larges - 1];
+                alias[less] = more;
+                keeps[more] -= 1 - keeps[less];
+                if (keeps[more] < 1) {
+                    larges--;
+                    small[smalls++] = more;
+                }
+            }
+            while (smalls > 0) {
+                keeps[small[--smalls]] = 1; // what rounding has left
+            }
+        }
+
+        int draw(RandomGenerator random) {
+            double at = random.nextDouble() * backends.length;
+            int i = (int) at;
+            return at - i < keeps[i] ? i : alias[i];
+        }
+
         /** Whether a line may be picked; {@code openOnly} leaves shunned backends out. */
         boolean fits(int i, Set<Backend> tried, long now, boolean openOnly) {
             return !(openOnly && paths[i].shunnedUntil > now) && (tried.isEmpty()
@@ -266,6 +358,7 @@
                 made.weights[i] = held[cls].lines.get(open.get(i));
                 made.paths[i] = path(open.get(i));
             }
+            made.settle();
             choices[cls] = made;
         }
         return choices[cls];
@@ -274,24 +367,37 @@
     /** The backend for a try, or null if the table has none that was not tried; shunned ones come last. */
     public Backend pick(int cls, Set<Backend> tried, long now) {
         Choices all = choices(cls);
-        boolean openOnly = true;
-        double sum = sum(all, tried, now, true);
-        if (sum <= 0) {
-            openOnly = false;
-            sum = sum(all, tried, now, false);
-        }
-        if (sum <= 0) {
-            return null;
-        }
         if (site.choice() == Site.Choice.ROUND) {
-            return all.backends[next(all, tried, now, openOnly, sum)];
+            return turn(all, tried, now);
         }
-        int one = draw(all, tried, now, openOnly, sum);
-        if (site.choice() == Site.Choice.TWO) {
-            int other = draw(all, tried, now, openOnly, sum);
+        int one = draw(all, tried, now);
+        if (one >= 0 && site.choice() == Site.Choice.TWO) {
+            int other = draw(all, tried, now);
             one = all.paths[other].out < all.paths[one].out ? other : one;
         }
-        return all.backends[one];
+        return one < 0 ? null : all.backends[one];
+    }
+
+    /** A line by weight: at once where most lines fit, else by looking through all. -1 if none fits. */
+    private int draw(Choices all, Set<Backend> tried, long now) {
+        for (int i = 0; i < DRAWS_MOST && all.backends.length > 0; i++) {
+            int drawn = all.draw(random);
+            if (all.fits(drawn, tried, now, true)) {
+                return drawn;
+            }
+        }
+        double open = sum(all, tried, now, true);
+        if (open > 0) {
+            return draw(all, tried, now, true, open);
+        }
+        double any = sum(all, tried, now, false);
+        return any > 0 ? draw(all, tried, now, false, any) : -1;
+    }
+
+    private Backend turn(Choices all, Set<Backend> tried, long now) {
+        double open = sum(all, tried, now, true);
+        double any = open > 0 ? open : sum(all, tried, now, false);
+        return any > 0 ? all.backends[next(all, tried, now, open > 0, any)] : null;
     }
 
     private static double sum(Choices all, Set<Backend> tried, long now, boolean openOnly) {
@@ -364,7 +470,19 @@
             case ONCE -> tries == 1;
             case TWICE -> tries <= 2;
         };
-        return ordered && safe && left > LEAST_LEFT * site.classes().get(cls).deadline();
+        return ordered && safe && left > LEAST_LEFT * site.classes().get(cls).deadline() && spend();
+    }
+
+    /** The budget can only lower what is ordered. */
+    private boolean spend() {
+        if (conduct.retryBudget() >= 1) {
+            return true;
+        }
+        if (budget < 1) {
+            return false;
+        }
+        budget--;
+        return true;
     }
 
     /** Whether a request that may have run may be sent again. */
--- a/src/test/java/rowanmoor/controller/ControllerTest.java
+++ b/src/test/java/rowanmoor/controller/ControllerTest.java
@@ -47,12 +47,33 @@
             roster.put(new RosterServer.Instance(backend(i), i % 2 == 0 ? "north" : "south", "fast", 4,
                     Listed.READY, 0, 0));
         }
+        controller = make();
+        net.runFor(200 * MS);
+    }
+
+    private Controller make() throws Exception {
         ControllerConfig c = ControllerConfig.read(Path.of("conf/controller.kdl"));
-        controller = new Controller(new ControllerConfig(c.site(), 0, 1, 0, ANY, c.tick(), c.helloWithin(),
+        return new Controller(new ControllerConfig(c.site(), 0, 1, 0, ANY, c.tick(), c.helloWithin(),
                 c.silentAfter(), 250, 4096, roster.address(), c.service(), c.rosterWait(),
                 c.emptyHold(), c.probePath(), c.probeWithin(), c.probesAtOnce(), null, null, c.statsEvery()), loop, 1,
                 77, () -> net.now() / MS);
-        net.runFor(200 * MS);
+    }
+
+    @Test
+    void aProxyThatJoinsBeforeTheFirstListKeepsWhatItHoldsAndIsBoundAfterIt() throws Exception {
+        roster.down(true);
+        controller = make();
+        Peer peer = new Peer(hello(1, 1));
+        net.runFor(2000 * MS);
+        assertEquals(1, peer.heard(Frame.Snapshot.class).size());
+        assertEquals(List.of(), peer.heard(Frame.Update.class), "an empty table would take its backends away");
+        roster.down(false);
+        net.runFor(5000 * MS);
+        List<Frame.Bind> binds = peer.heard(Frame.Update.class).stream().flatMap(u -> u.orders().stream())
+                .filter(Frame.Bind.class::isInstance).map(Frame.Bind.class::cast).toList();
+        assertFalse(binds.isEmpty());
+        assertFalse(binds.get(0).table().lines().isEmpty());
+        assertInOrder(peer);
     }
 
     private static Backend backend(int i) {
--- a/src/test/java/rowanmoor/proxy/RouterTest.java
+++ b/src/test/java/rowanmoor/proxy/RouterTest.java
@@ -188,4 +188,73 @@
         redial.up();
         assertTrue(redial.failed(true) <= SECOND * 3 / 2);
     }
+
+    private Router with(double budget, double safe) {
+        Conduct u = Conduct.usual();
+        return new Router(site, new Conduct(u.headWithin(), u.idleWithin(), u.wholeWithin(), u.holdMost(), 9, 9, 9, 9,
+                budget, 503, 1, 10 * SECOND, safe, u.deadlineField(), 0), List.of(A, B), new SplittableRandom(1), 0);
+    }
+
+    private static int admitted(Router its, long from, long to, int times) {
+        int in = 0;
+        for (int i = 0; i < times; i++) {
+            in += its.admits(0, from + i * (to - from) / times) ? 1 : 0;
+        }
+        return in;
+    }
+
+    @Test
+    void picksFollowWeightsWhateverTheTablesSize() {
+        joined();
+        java.util.List<Frame.Line> lines = new java.util.ArrayList<>();
+        for (int i = 1; i <= 10_000; i++) {
+            lines.add(new Frame.Line(new Backend(i), i % 10 + 1));
+        }
+        update(9, 1, new Frame.Bind(1, new Frame.Table(9, lines, List.of()), List.of()));
+        double[] sums = new double[11];
+        for (int i = 0; i < 200_000; i++) {
+            sums[(int) (router.pick(0, Set.of(), SECOND).id() % 10) + 1]++;
+        }
+        for (int w = 1; w <= 10; w++) {
+            // Best of two prefers the less used, and here all are alike: weights alone decide.
+            assertEquals(w / 55.0, sums[w] / 200_000, 0.004, "weight " + w);
+        }
+    }
+
+    @Test
+    void aLevelThatRisesIsNoBurst() {
+        joined();
+        update(9, 1, new Frame.Admit(rowanmoor.ControlApi.ALL_TABLES, new Frame.Level(0, 1, Retry.NEVER)));
+        admitted(router, SECOND, 2 * SECOND, 50);
+        update(9, 2, new Frame.Admit(rowanmoor.ControlApi.ALL_TABLES, new Frame.Level(0, 100, Retry.NEVER)));
+        int atOnce = admitted(router, 10 * SECOND, 10 * SECOND + 1000, 50);
+        assertTrue(atOnce <= 9, atOnce + " at once after eight quiet seconds at one a second");
+        int after = admitted(router, 11 * SECOND, 21 * SECOND, 5000);
+        assertTrue(after > 950 && after < 1060, after + " in ten seconds at a hundred");
+    }
+
+    @Test
+    void aBudgetLowersWhatIsOrderedAndNeverRaisesIt() {
+        Router bounded = with(0.1, -1);
+        int followed = 0;
+        for (int i = 0; i < 1000; i++) {
+            bounded.admits(0, i);
+            followed += bounded.mayFollow(0, 1, true, 2 * SECOND) ? 1 : 0;
+        }
+        assertTrue(followed > 95 && followed < 120, followed + " of a tenth of a thousand");
+        assertFalse(bounded.mayFollow(1, 1, false, 2 * SECOND), "no proof, unsafe");
+        assertTrue(with(1, -1).mayFollow(0, 1, true, 2 * SECOND));
+    }
+
+    @Test
+    void outOfReachOfAllControllersLevelsAreKeptThroughALeaseAndThenFall() {
+        Router safe = with(1, 20);
+        safe.heard(SECOND);
+        assertEquals(500, admitted(safe, 2 * SECOND, 10 * SECOND, 500), "within the lease");
+        int after = admitted(safe, 12 * SECOND, 22 * SECOND, 5000);
+        assertTrue(after > 190 && after < 215, after + " in ten seconds at twenty");
+        safe.heard(23 * SECOND);
+        assertEquals(500, admitted(safe, 24 * SECOND, 25 * SECOND, 500), "a controller is back");
+        assertEquals(500, admitted(with(1, -1), 90 * SECOND, 91 * SECOND, 500), "kept where so set");
+    }
 }
