Table swap and drain explored to a depth; a proxy's counts exact to the last request

Whether a request can meet a table half changed, or a retry go to a backend that drains, was tested by example only, and nothing held the proxy's reports against what clients and backends counted.

SwapExplorerTest plays every interleaving of updates, picks, failures and ends of two requests, to a depth of nine steps, on the real router, and finds two seeded mutants. ProxyTest sums a proxy's reports over answers, refusals, resets and silence, part of it out of reach of its controller.

--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -14,6 +14,11 @@
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
+import rowanmoor.channel.ChannelError;
+import rowanmoor.channel.ChannelLimits;
+import rowanmoor.channel.Codec;
+import rowanmoor.channel.Frame;
+import rowanmoor.channel.FrameReader;
 import rowanmoor.config.ConfigError;
 import rowanmoor.config.Section;
 import rowanmoor.config.Site;
@@ -457,4 +462,102 @@
         reached.get(0).say(OK);
         assertTrue(client.heard.toString().endsWith("ok"));
     }
+
+    /** A backend that answers as chance has it, and counts. */
+    private final class Chancy implements Handler {
+        private final SplittableRandom random;
+        private final long[] seen;
+        private final StringBuilder heard = new StringBuilder();
+
+        Chancy(SplittableRandom random, long[] seen) {
+            this.random = random;
+            this.seen = seen;
+        }
+
+        @Override
+        public void received(Connection its, ByteBuffer bytes) {
+            heard.append(StandardCharsets.ISO_8859_1.decode(bytes));
+            for (int end = heard.indexOf("\r\n\r\n"); end >= 0; end = heard.indexOf("\r\n\r\n")) {
+                heard.delete(0, end + 4);
+                seen[0]++;
+                switch (random.nextInt(8)) {
+                    case 0 -> its.send(bytes("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"));
+                    case 1 -> its.send(bytes("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"));
+                    case 2 -> its.reset("test");
+                    case 3 -> { } // never
+                    default -> loop.after(random.nextInt(40) * MS, () -> its.send(bytes(OK)));
+                }
+            }
+        }
+    }
+
+    /** A controller's end that binds nothing and sums what it is told. */
+    private final class Listener implements Handler {
+        private final FrameReader reader = new FrameReader(ChannelLimits.usual());
+        private final long[] sums;
+
+        Listener(long[] sums) {
+            this.sums = sums;
+        }
+
+        @Override
+        public void received(Connection its, ByteBuffer bytes) {
+            try {
+                while (bytes.hasRemaining()) {
+                    Frame frame = reader.next(bytes);
+                    if (frame instanceof Frame.Hello) {
+                        its.send(Codec.encode(new Frame.Snapshot(1, 0, 0, 0, List.of(), List.of(), List.of(),
+                                List.of())));
+                    } else if (frame instanceof Frame.Report report) {
+                        report.uses().forEach(u -> {
+                            sums[0] += u.requests();
+                            sums[1] += u.failed();
+                        });
+                        report.tallies().forEach(t -> {
+                            sums[2] += t.tries();
+                            sums[3] += t.failed();
+                        });
+                    }
+                }
+            } catch (ChannelError e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    @Test
+    void whatIsReportedIsWhatClientsAndBackendsCountedToTheLastRequest() throws IOException, ConfigError {
+        SplittableRandom random = new SplittableRandom(3);
+        long[] seen = new long[1];
+        long[] sums = new long[4];
+        InetSocketAddress[] backends = new InetSocketAddress[3];
+        for (int b = 0; b < 3; b++) {
+            backends[b] = loop.listen(ANY, Connection.Options.usual(), c -> new Chancy(random.split(), seen)).address();
+        }
+        InetSocketAddress controller = refusing();
+        Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(controller), 0, 300 * MS,
+                3 * SECOND, List.of(backends), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop,
+                new SplittableRandom(1), Tap.NONE);
+        List<Near> clients = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            Near client = new Near(proxy);
+            clients.add(client);
+            client.connection.send(bytes(get((i % 2 == 0 ? "/r/" : "/p/") + i)));
+            net.runFor(10 * MS);
+            if (i == 300) { // out of reach until now: what was counted waits
+                loop.listen(controller, Connection.Options.usual().idleAfter(60 * SECOND), c -> new Listener(sums));
+            }
+        }
+        net.runFor(2100 * MS);
+        boolean[] stopped = new boolean[1];
+        proxy.stop(() -> stopped[0] = true);
+        net.runFor(SECOND);
+        assertTrue(stopped[0]);
+        long good = clients.stream().filter(c -> c.heard.toString().startsWith("HTTP/1.1 200")).count();
+        assertTrue(good > 300 && good < 600, good + " served");
+        assertEquals(600, sums[0], "requests");
+        assertEquals(600 - good, sums[1], "without an answer");
+        assertEquals(seen[0], sums[2], "tries");
+        assertEquals(sums[2] - good, sums[3], "failed tries");
+    }
 }
--- /dev/null
+++ b/src/test/java/rowanmoor/proxy/SwapExplorerTest.java
@@ -0,0 +1,207 @@
+package rowanmoor.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.channel.Frame;
+import rowanmoor.config.ConfigError;
+import rowanmoor.config.Site;
+
+/**
+ * All interleavings, to a depth, of what may happen to a proxy while tables change and a backend drains: the
+ * next update comes, a request picks, its try fails before it ran and picks again, it ends. After each step
+ * every pick must be a line of the table as it is at that moment, not withdrawn and not tried before; and
+ * there must be one whenever the table has one. Each path is played anew from the start on the real router.
+ */
+class SwapExplorerTest {
+
+    private static final Backend A = new Backend(1);
+    private static final Backend B = new Backend(2);
+    private static final Backend C = new Backend(3);
+    private static final int REQUESTS = 2;
+    private static final int DEPTH = 9;
+    private Site site;
+    private long paths;
+
+    @BeforeEach
+    void read() throws ConfigError {
+        site = ProxyConfig.read(Path.of("conf/proxy.kdl")).get(0).site();
+    }
+
+    private static Frame.Line line(Backend backend, double weight) {
+        return new Frame.Line(backend, weight);
+    }
+
+    /** What the controller sends, in order: a table, a drain, a swap to another table, the drain's end. */
+    private static final List<List<Frame.Order>> UPDATES = List.of(
+            List.of(new Frame.Bind(0, new Frame.Table(1, List.of(line(A, 5), line(B, 1)), List.of()), List.of())),
+            List.of(new Frame.Withdraw(A, true)),
+            List.of(new Frame.Bind(0, new Frame.Table(2, List.of(line(B, 1), line(C, 3)), List.of()), List.of(A))),
+            List.of(new Frame.Withdraw(A, false), new Frame.SetLine(2, line(A, 9)), new Frame.SetLine(2, line(C, 0))));
+
+    /** What may be picked after so many updates, told without the router. */
+    private static final List<Set<Backend>> OPEN = List.of(Set.of(A, B), Set.of(A, B), Set.of(B), Set.of(B, C),
+            Set.of(A, B));
+
+    /** One run: the router, and what its requests have done. */
+    private final class Run {
+        private final Router router;
+        private final List<Set<Backend>> tried = new ArrayList<>();
+        private final Backend[] at = new Backend[REQUESTS];
+        private int updates;
+        private String wrong;
+
+        Run(Function<RandomGenerator, Router> make, long seed) {
+            router = make.apply(new SplittableRandom(seed));
+            router.streamBegins();
+            router.heed(new Frame.Snapshot(1, 0, 0, 0, List.of(), List.of(), List.of(), List.of()));
+            for (int r = 0; r < REQUESTS; r++) {
+                tried.add(new TreeSet<>());
+            }
+        }
+
+        /** Plays a step; false if it cannot happen now. */
+        boolean step(int what) {
+            if (what == 0) {
+                if (updates == UPDATES.size()) {
+                    return false;
+                }
+                router.heed(new Frame.Update(1, updates + 1, 0, 0, UPDATES.get(updates++)));
+                return true;
+            }
+            int request = (what - 1) / 2;
+            boolean fails = (what - 1) % 2 == 1;
+            if (at[request] == null) {
+                return !fails && pick(request);
+            }
+            Backend left = at[request];
+            at[request] = null;
+            router.done(left, !fails, 1);
+            if (fails) {
+                return pick(request);
+            }
+            tried.get(request).clear();
+            return true;
+        }
+
+        private boolean pick(int request) {
+            Set<Backend> may = new TreeSet<>(OPEN.get(updates));
+            may.removeAll(tried.get(request));
+            Backend picked = router.pick(0, tried.get(request), 1);
+            if (picked == null ? !may.isEmpty() : !may.contains(picked)) {
+                wrong = "after " + updates + " updates picked " + picked + " of " + may;
+            }
+            if (picked != null) {
+                router.sent(picked);
+                tried.get(request).add(picked);
+                at[request] = picked;
+            } else {
+                tried.get(request).clear();
+            }
+            return true;
+        }
+    }
+
+    /** The shortest path at whose end something is wrong, or null; depths grow so that it is the shortest. */
+    private String explore(Function<RandomGenerator, Router> make) {
+        for (int depth = 1; depth <= DEPTH; depth++) {
+            String found = explore(make, new int[depth], 0);
+            if (found != null) {
+                return found;
+            }
+        }
+        return null;
+    }
+
+    private String explore(Function<RandomGenerator, Router> make, int[] path, int at) {
+        if (at == path.length) {
+            paths++;
+            Run run = new Run(make, paths);
+            for (int i = 0; i < path.length; i++) {
+                if (!run.step(path[i])) {
+                    return null;
+                }
+                if (run.wrong != null) {
+                    return java.util.Arrays.toString(path) + ": " + run.wrong;
+                }
+            }
+            return null;
+        }
+        for (int what = 0; what <= 2 * REQUESTS; what++) {
+            if (path.length < 7 || !idle(path, at, what)) {
+                path[at] = what;
+                String found = explore(make, path, at + 1);
+                if (found != null) {
+                    return found;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** Leaves out what cannot happen: a fifth update, a failure first, the second request before the first. */
+    private static boolean idle(int[] path, int at, int what) {
+        int updates = 0;
+        boolean firstSeen = false;
+        boolean[] out = new boolean[REQUESTS];
+        for (int i = 0; i < at; i++) {
+            updates += path[i] == 0 ? 1 : 0;
+            if (path[i] > 0) {
+                int request = (path[i] - 1) / 2;
+                firstSeen |= request == 0;
+                out[request] = (path[i] - 1) % 2 == 1 || !out[request];
+            }
+        }
+        if (what == 0) {
+            return updates == UPDATES.size();
+        }
+        int request = (what - 1) / 2;
+        return (what - 1) % 2 == 1 && !out[request] || request == 1 && !firstSeen;
+    }
+
+    @Test
+    void noInterleavingOfSwapDrainAndRetryPicksWhatItMayNot() {
+        assertNull(explore(random -> new Router(site, List.of(A, B), random, 0)));
+        assertTrue(paths > 100_000, paths + " paths");
+    }
+
+    @Test
+    void aProxyThatRemembersItsPicksOverASwapIsFound() {
+        String found = explore(random -> new Router(site, List.of(A, B), random, 0) {
+            private Backend remembered;
+
+            @Override
+            public Backend pick(int cls, Set<Backend> tried, long now) {
+                if (remembered == null || tried.contains(remembered)) {
+                    remembered = super.pick(cls, tried, now);
+                }
+                return remembered;
+            }
+        });
+        assertNotNull(found);
+    }
+
+    @Test
+    void aProxyThatLetsARetryGoToADrainedBackendIsFound() {
+        String found = explore(random -> new Router(site, List.of(A, B), random, 0) {
+            @Override
+            public Backend pick(int cls, Set<Backend> tried, long now) {
+                Backend picked = super.pick(cls, tried, now);
+                return picked == null && !tried.contains(A) ? A : picked;
+            }
+        });
+        assertNotNull(found);
+    }
+}
