Whole-message connections stand on the streams: framing is judged in one place

ServerConnection and ClientConnection had their own copies of what the streams do: requests sent ahead, early answers, bytes after an answer, half-closed clients.

--- a/src/main/java/rowanmoor/http/ClientStream.java
+++ b/src/main/java/rowanmoor/http/ClientStream.java
@@ -49,16 +49,27 @@
     private boolean made;
     private boolean interim;
 
-    private ClientStream(Loop loop, Limits limits, Consumer<ClientStream> onGone) {
+    private ClientStream(Loop loop, PartParser parser, Consumer<ClientStream> onGone) {
         this.loop = loop;
-        this.parser = PartParser.ofResponses(limits).anyLength();
+        this.parser = parser;
         this.onGone = onGone;
     }
 
     /** Opens a connection; {@code onGone} hears once that it is over. */
     public static ClientStream open(Loop loop, InetSocketAddress from, InetSocketAddress to,
             Connection.Options options, Limits limits, Consumer<ClientStream> onGone) {
-        ClientStream client = new ClientStream(loop, limits, onGone);
+        return open(loop, from, to, options, PartParser.ofResponses(limits).anyLength(), onGone);
+    }
+
+    /** The same, with answers within {@link Limits#body} only. */
+    static ClientStream openWhole(Loop loop, InetSocketAddress from, InetSocketAddress to,
+            Connection.Options options, Limits limits, Consumer<ClientStream> onGone) {
+        return open(loop, from, to, options, PartParser.ofResponses(limits), onGone);
+    }
+
+    private static ClientStream open(Loop loop, InetSocketAddress from, InetSocketAddress to,
+            Connection.Options options, PartParser parser, Consumer<ClientStream> onGone) {
+        ClientStream client = new ClientStream(loop, parser, onGone);
         client.connection = loop.connect(from, to, options, client);
         client.out = new Out(client.connection);
         client.idleSince = loop.now();
@@ -121,6 +132,10 @@
         return waiting == null && asked && !spent && !connection.isClosed();
     }
 
+    public boolean isClosed() {
+        return connection.isClosed();
+    }
+
     /** Whether the connection was made; a request over one that was not may be one that it waits for. */
     public boolean made() {
         return made;
--- a/src/main/java/rowanmoor/http/ServerConnection.java
+++ b/src/main/java/rowanmoor/http/ServerConnection.java
@@ -1,18 +1,14 @@
 package rowanmoor.http;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import rowanmoor.net.Close;
 import rowanmoor.net.Connection;
-import rowanmoor.net.Handler;
 
 /**
- * Serves one connection: requests are answered one at a time and in order, those that a client sends
- * ahead wait, at most {@value #AHEAD_MOST} bytes of them. A client that ends its bytes while its request
- * is in work has given up.
+ * Serves one connection with whole messages, content held within {@link Limits#body}. What is refused, how
+ * requests sent ahead wait and when a client has given up is as {@link ServerStream} has it.
  */
-public class ServerConnection implements Handler {
-
-    static final int AHEAD_MOST = 1 << 16;
+public class ServerConnection extends ServerStream {
 
     /** Answers requests. */
     public interface Service {
@@ -25,131 +21,71 @@
     }
 
     /** One request's way back. */
-    public final class Exchange {
-        private final Message.Request request;
-        private boolean over;
+    public static final class Exchange {
+        private final ServerStream.Exchange parts;
         /** Free for the service's own use. */
         public Object tag;
 
-        private Exchange(Message.Request request) {
-            this.request = request;
+        private Exchange(ServerStream.Exchange parts) {
+            this.parts = parts;
         }
 
         public Connection connection() {
-            return connection;
+            return parts.connection();
         }
 
         /** Answers; only the first call counts. False if the client is gone or was answered. */
         public boolean answer(Message.Response response) {
-            if (over || current != this) {
+            Part.ResponseHead head = new Part.ResponseHead(response.status(), response.reason(), 1,
+                    response.fields(), response.body().length);
+            if (!parts.begin(head)) {
                 return false;
             }
-            over = true;
-            current = null;
-            boolean goesOn = request.keepsAlive() && response.keepsAlive();
-            connection.send(response.encode(request.method().equals("HEAD")));
-            if (goesOn) {
-                takeWaiting();
-            } else {
-                connection.end();
-            }
+            parts.write(ByteBuffer.wrap(response.body()));
+            parts.end(new Fields());
             return true;
         }
 
-        /** Sends these bytes as they are and breaks the connection: for stand-ins that fail on purpose. */
+        /** Breaks the connection: for stand-ins that fail on purpose. */
         public void breakOff() {
-            over = true;
-            current = null;
-            connection.reset("broken off on purpose");
+            parts.breakOff();
         }
     }
 
-    private final Service service;
-    private final Parser parser;
-    private Connection connection;
-    private ByteBuffer ahead = ByteBuffer.allocate(0);
-    private Exchange current;
-    private boolean taking;
-
-    public ServerConnection(Limits limits, Service service) {
-        this.parser = Parser.ofRequests(limits);
-        this.service = service;
-    }
-
-    @Override
-    public void opened(Connection itsConnection) {
-        connection = itsConnection;
-    }
-
-    @Override
-    public void received(Connection itsConnection, ByteBuffer bytes) {
-        if (current == null && !ahead.hasRemaining()) {
-            take(bytes);
-        }
-        if (bytes.hasRemaining() && connection.isOpen()) {
-            keep(bytes);
-        }
-    }
-
-    private void keep(ByteBuffer bytes) {
-        ByteBuffer joined = ByteBuffer.allocate(ahead.remaining() + bytes.remaining());
-        ahead = joined.put(ahead).put(bytes).flip();
-        if (ahead.remaining() > AHEAD_MOST) {
-            connection.pause();
-        }
-    }
+    /** Puts a request together and hands it over. */
+    private record Whole(Service service) implements ServerStream.Service {
+
+        @Override
+        public void begun(ServerStream.Exchange parts) {
+            Exchange exchange = new Exchange(parts);
+            parts.tag = exchange;
+            ByteArrayOutputStream content = new ByteArrayOutputStream(0);
+            parts.to(new Body() {
+                @Override
+                public void piece(ByteBuffer bytes) {
+                    byte[] piece = new byte[bytes.remaining()];
+                    bytes.get(piece);
+                    content.write(piece, 0, piece.length);
+                }
 
-    private void takeWaiting() {
-        if (taking) {
-            return; // the loop below goes on by itself
-        }
-        taking = true;
-        while (current == null && ahead.hasRemaining() && connection.isOpen()) {
-            take(ahead);
-        }
-        taking = false;
-        if (ahead.remaining() <= AHEAD_MOST && connection.isOpen()) {
-            connection.resume();
+                @Override
+                public void end(Fields trailers) {
+                    Part.RequestHead head = parts.head();
+                    service.request(new Message.Request(head.method(), head.target(), head.minor(),
+                            head.fields(), content.toByteArray()), exchange);
+                }
+            });
         }
-    }
 
-    private void take(ByteBuffer bytes) {
-        try {
-            boolean outer = !taking;
-            taking = true;
-            while (current == null && bytes.hasRemaining() && connection.isOpen()) {
-                Message message = parser.next(bytes);
-                if (message instanceof Message.Request request) {
-                    current = new Exchange(request);
-                    service.request(request, current);
-                }
+        @Override
+        public void gone(ServerStream.Exchange parts) {
+            if (parts.asked()) {
+                service.abandoned((Exchange) parts.tag);
             }
-            taking = !outer;
-        } catch (HttpError e) {
-            taking = false;
-            connection.send(Message.Response.of(e.status(), e.getMessage() + "\n", "Connection", "close")
-                    .encode(false));
-            connection.end();
         }
     }
 
-    @Override
-    public boolean ended(Connection itsConnection) {
-        abandon();
-        return false;
-    }
-
-    @Override
-    public void closed(Connection itsConnection, Close why, String detail) {
-        abandon();
-    }
-
-    private void abandon() {
-        Exchange unanswered = current;
-        current = null;
-        if (unanswered != null) {
-            unanswered.over = true;
-            service.abandoned(unanswered);
-        }
+    public ServerConnection(Limits limits, Service service) {
+        super(limits, new Whole(service));
     }
 }
--- a/src/main/java/rowanmoor/http/ServerStream.java
+++ b/src/main/java/rowanmoor/http/ServerStream.java
@@ -151,7 +151,8 @@
             if (length == Part.CHUNKED) {
                 fields.set("Transfer-Encoding", "chunked");
             }
-            closes = untilEnd || head.minor() == 0 || !head.keepsAlive() || stopping
+            closes = untilEnd || head.minor() == 0 || answer.fields().holds("connection",
+                    "close") || !head.keepsAlive() || stopping
                     || !asked && !mayDrain();
             if (closes) {
                 fields.set("Connection", "close");
@@ -229,6 +230,14 @@
         this.service = service;
     }
 
+    /** Content within the limits, and no bound on how long a head takes: for stand-ins and whole messages. */
+    ServerStream(Limits limits, Service service) {
+        this.loop = null;
+        this.parser = PartParser.ofRequests(limits);
+        this.headWithin = 0;
+        this.service = service;
+    }
+
     /** Options for connections that are served in parts: what waits is bounded well above a pause. */
     public static Connection.Options options() {
         return Connection.Options.usual().bound(new Bound(1 << 22, 1 << 16, Bound.Policy.REFUSE));
@@ -363,7 +372,7 @@
     /** One byte a second must not hold a connection for good. */
     private void watchHead() {
         boolean begun = connection.isOpen() && current == null && (parser.inMessage() || ahead != null);
-        if (begun && headTimer == null) {
+        if (begun && headTimer == null && headWithin > 0) {
             headTimer = loop.after(headWithin, () -> refuse(new HttpError(408, "a head took too long")));
         } else if (!begun && headTimer != null) {
             headTimer.cancel();
