Proxies move back to their first controller; two framing cases of early answers

A proxy that had gone to another controller stayed there for good, so that one that came back stood idle. A client that waits for 100 and is refused may leave its content out, and its next request would have been read as that content. An answer to HEAD that names a transfer coding was taken for a broken one.

A refused request with Expect closes its connection; other short content is read and dropped. HEAD and 304 may name a coding (RFC 9112, 6.1).

Each has a test in ProxyTest on the network in memory: one look and one join, no second one in 20 s.

--- a/src/main/java/rowanmoor/http/PartParser.java
+++ b/src/main/java/rowanmoor/http/PartParser.java
@@ -328,7 +328,9 @@
                 || !fields.get("transfer-encoding").equalsIgnoreCase("chunked")) {
             throw new HttpError(501, "a transfer coding other than chunked");
         }
-        if (minor == 0 || bare) {
+        // An answer to HEAD and a 304 may name the coding that content would have had (RFC 9112, 6.1).
+        boolean names = bare && status >= 200 && status != 204;
+        if (minor == 0 || bare && !names) {
             throw new HttpError(400, "a transfer coding where none may be");
         }
         step = Step.CHUNK_SIZE;
--- a/src/main/java/rowanmoor/http/ServerStream.java
+++ b/src/main/java/rowanmoor/http/ServerStream.java
@@ -162,7 +162,8 @@
         }
 
         private boolean mayDrain() {
-            return head.length() >= 0 && head.length() <= DRAIN_MOST;
+            // A client that waits for 100 may leave its content out: what came next would be read as content.
+            return head.length() >= 0 && head.length() <= DRAIN_MOST && head.fields().get("expect") == null;
         }
 
         /** Some of the answer's content, copied; false if the writer should pause until drained. */
--- a/src/main/java/rowanmoor/proxy/ChannelClient.java
+++ b/src/main/java/rowanmoor/proxy/ChannelClient.java
@@ -119,6 +119,7 @@
                 up = true;
                 redial.up();
                 firstSnapshot.cancel();
+                lookHomeLater();
             }
             tablesChanged.run();
         } else if (frame instanceof Frame.Update update) {
@@ -135,6 +136,47 @@
         }
     }
 
+    private void lookHomeLater() {
+        if (config.conduct().homeAfter() > 0 && !redial.atHome() && !stopped) {
+            int its = streams;
+            loop.after(redial.lookAfter(config.conduct().homeAfter()), () -> {
+                if (up && its == streams) {
+                    lookHome();
+                }
+            });
+        }
+    }
+
+    /** Calls its first controller beside the stream that is up; that is left only for one that answers. */
+    private void lookHome() {
+        InetSocketAddress home = config.controllers().get(config.firstController()
+                % config.controllers().size());
+        int its = streams;
+        loop.connect(config.from(), home, Connection.Options.usual().connectWithin(config.silentAfter()),
+                new Handler() {
+                    @Override
+                    public void opened(Connection made) {
+                        made.close(Close.LOCAL, "it is there");
+                        if (up && its == streams && !stopped) {
+                            LOG.info("proxy {}: moves back to its first controller", config.number());
+                            redial.home();
+                            send(new Frame.Goodbye(Frame.Reason.MOVING, "to its first controller"));
+                            connection.end();
+                        }
+                    }
+
+                    @Override
+                    public void received(Connection made, ByteBuffer bytes) { }
+
+                    @Override
+                    public void closed(Connection made, Close why, String detail) {
+                        if (why.neverMade() && up && its == streams) {
+                            lookHomeLater();
+                        }
+                    }
+                });
+    }
+
     private void take(Frame.Update update) {
         Router.Heed heed = router.heed(update);
         if (heed == Router.Heed.GAP) {
--- a/src/main/java/rowanmoor/proxy/Conduct.java
+++ b/src/main/java/rowanmoor/proxy/Conduct.java
@@ -22,16 +22,18 @@
  *     keep what it had (the paper's safe capacity)
  * @param deadlineField names the field in which clients state milliseconds left, and which goes on
  * @param reloadWithin a stopping proxy waits so long for requests in work
+ * @param homeAfter joined to another controller than its first, it looks for that one about so often, and
+ *     moves back; 0 to stay
  */
 public record Conduct(long headWithin, long idleWithin, long wholeWithin, int holdMost, int perBackendMost,
         int idleMost, int inflightMost, int perClientMost, double retryBudget, int refusal, int retryAfter,
-        long lease, double safeLevel, String deadlineField, long reloadWithin) {
+        long lease, double safeLevel, String deadlineField, long reloadWithin, long homeAfter) {
 
     private static final long SECOND = 1_000_000_000L;
 
     public static Conduct usual() {
         return new Conduct(10 * SECOND, 30 * SECOND, 300 * SECOND, 1 << 16, 1024, 256, 4096, 1 << 20, 1, 503,
-                1, 30 * SECOND, -1, "x-deadline-ms", 10 * SECOND);
+                1, 30 * SECOND, -1, "x-deadline-ms", 10 * SECOND, 0);
     }
 
     /** Reads the block's own keys; what is left out is as usual. */
@@ -54,13 +56,7 @@
                 p.duration("lease", "100ms", "24h", "30s"),
                 p.has("safe-level") ? p.number("safe-level", 0, 1e9) : u.safeLevel,
                 p.text("deadline-field", u.deadlineField),
-                p.duration("stop-within", "0s", "1h", "10s"));
-    }
-
-    /** The same with another hold. */
-    Conduct hold(int bytes) {
-        return new Conduct(headWithin, idleWithin, wholeWithin, bytes, perBackendMost, idleMost, inflightMost,
-                perClientMost, retryBudget, refusal, retryAfter, lease, safeLevel, deadlineField,
-                reloadWithin);
+                p.duration("stop-within", "0s", "1h", "10s"),
+                p.duration("home-after", "0s", "24h", "0s"));
     }
 }
--- a/src/main/java/rowanmoor/proxy/Redial.java
+++ b/src/main/java/rowanmoor/proxy/Redial.java
@@ -9,6 +9,7 @@
     private static final int DOUBLINGS_MOST = 4;
 
     private final int controllers;
+    private final int first;
     private final long least;
     private final RandomGenerator random;
     private int at;
@@ -17,7 +18,8 @@
     /** @param least the shortest mean wait, ns; the longest is 16 times that */
     Redial(int controllers, int first, long least, RandomGenerator random) {
         this.controllers = controllers;
-        this.at = first % controllers;
+        this.first = first % controllers;
+        this.at = this.first;
         this.least = least;
         this.random = random;
     }
@@ -27,6 +29,22 @@
         return at;
     }
 
+    /** Whether the controller to call is its first. */
+    boolean atHome() {
+        return at == first;
+    }
+
+    /** Its first controller is to be called next. */
+    void home() {
+        at = first;
+        failures = 0;
+    }
+
+    /** When to look for the first controller again: jittered, so that proxies do not move all at once. */
+    long lookAfter(long mean) {
+        return (long) (mean * (0.5 + random.nextDouble()));
+    }
+
     /** The stream was up: the next wait starts small again, with the same controller. */
     void up() {
         failures = 0;
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -242,6 +242,23 @@
         assertTrue(client.heard.toString().contains("Content-Length: 500\r\n"), client.heard.toString());
         client.say(get("/r/2"));
         assertEquals(2, reached.get(0).heard.toString().split("HTTP/1.1").length - 1);
+        reached.get(0).say(OK);
+        client.say("HEAD /r/3 HTTP/1.1\r\nHost: h\r\n\r\n");
+        reached.get(0).say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        assertEquals(3, client.heard.toString().split("200 OK").length - 1, client.heard.toString());
+    }
+
+    @Test
+    void aRefusedClientThatWaitsToSendItsContentCannotHaveItsNextRequestTakenForIt() throws IOException, ConfigError {
+        Proxy proxy = proxy();
+        Near client = new Near(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n"
+                + "Expect: 100-continue\r\n\r\n");
+        assertTrue(client.heard.toString().startsWith("HTTP/1.1 503"), client.heard.toString());
+        assertTrue(client.heard.toString().contains("Connection: close"));
+        Near plain = new Near(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+        plain.say("abcd" + get("/p/2"));
+        assertEquals(2, plain.heard.toString().split("HTTP/1.1 503").length - 1, plain.heard.toString());
+        assertFalse(plain.over, "short content is read and dropped");
     }
 
     @Test
@@ -414,7 +431,7 @@
     void boundsOnRequestsInWorkAndOnOneClientsConnections() throws IOException, ConfigError {
         Conduct u = Conduct.usual();
         Proxy proxy = proxy(c -> new Conduct(u.headWithin(), u.idleWithin(), u.wholeWithin(), u.holdMost(), 2, 2, 3,
-                5, 1, 429, 7, u.lease(), -1, u.deadlineField(), u.reloadWithin()), backend(1));
+                5, 1, 429, 7, u.lease(), -1, u.deadlineField(), u.reloadWithin(), 0), backend(1));
         List<Near> clients = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             clients.add(new Near(proxy).say(get("/p/" + i)));
@@ -525,6 +542,34 @@
         }
     }
 
+    @Test
+    void aProxyMovesBackToItsFirstControllerOnceThatIsThereAndNotBefore() throws IOException, ConfigError {
+        Conduct u = Conduct.usual();
+        InetSocketAddress home = refusing();
+        int[] joined = new int[2];
+        InetSocketAddress other = loop.listen(ANY, Connection.Options.usual(), c -> {
+            joined[1]++;
+            return new Listener(new long[4]);
+        }).address();
+        Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(home, other), 0, 300 * MS,
+                60 * SECOND, List.of(backend(1)), 15 * SECOND, 250 * MS, 5000, new Conduct(u.headWithin(),
+                u.idleWithin(), u.wholeWithin(), u.holdMost(), 9, 9, 99, 99, 1, 503, 1, u.lease(), -1,
+                u.deadlineField(), u.reloadWithin(), 2 * SECOND)), loop, new SplittableRandom(1), Tap.NONE);
+        net.runFor(20 * SECOND);
+        assertTrue(proxy.joined());
+        assertEquals(1, joined[1], "it stays while its first controller is gone");
+        loop.listen(home, Connection.Options.usual(), c -> {
+            joined[0]++;
+            return new Listener(new long[4]);
+        });
+        net.runFor(6 * SECOND);
+        assertTrue(proxy.joined());
+        assertEquals(2, joined[0], "once to look, once to join");
+        net.runFor(20 * SECOND);
+        assertEquals(2, joined[0]);
+        assertEquals(1, joined[1]);
+    }
+
     @Test
     void whatIsReportedIsWhatClientsAndBackendsCountedToTheLastRequest() throws IOException, ConfigError {
         SplittableRandom random = new SplittableRandom(3);
--- a/src/test/java/rowanmoor/proxy/RouterTest.java
+++ b/src/test/java/rowanmoor/proxy/RouterTest.java
@@ -192,7 +192,7 @@
     private Router with(double budget, double safe) {
         Conduct u = Conduct.usual();
         return new Router(site, new Conduct(u.headWithin(), u.idleWithin(), u.wholeWithin(), u.holdMost(), 9, 9, 9, 9,
-                budget, 503, 1, 10 * SECOND, safe, u.deadlineField(), 0), List.of(A, B), new SplittableRandom(1), 0);
+                budget, 503, 1, 10 * SECOND, safe, u.deadlineField(), 0, 0), List.of(A, B), new SplittableRandom(1), 0);
     }
 
     private static int admitted(Router its, long from, long to, int times) {
