--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -330,10 +330,11 @@
             description = "Measures what a proxy adds, on loopback sockets, beside going straight.")
     int proxyLoad(@Option(names = "--lines", defaultValue = "16", split = ",") List<Integer> lines,
             @Option(names = "--rates", defaultValue = "1000,4000", split = ",") List<Double> rates,
-            @Option(names = "--seconds", defaultValue = "5") double seconds)
+            @Option(names = "--seconds", defaultValue = "5") double seconds,
+            @Option(names = "--over-only", description = "nothing goes straight") boolean overOnly)
             throws IOException, ConfigError, InterruptedException {
         for (int count : lines) {
-            ProxyLoad load = new ProxyLoad(count);
+            ProxyLoad load = new ProxyLoad(count, !overOnly);
             load.step(2000, WARM_SECONDS); // compiles, and is not counted
             for (double rate : rates) {
                 out().println(load.step(rate, seconds));
--- a/src/main/java/rowanmoor/lab/ProxyLoad.java
+++ b/src/main/java/rowanmoor/lab/ProxyLoad.java
@@ -68,6 +68,8 @@
     private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     private static final long SECOND = 1_000_000_000L;
     private static final int BACKENDS = 4;
+    /** Requests over the proxy that may be unanswered; those beyond it are lost and counted as failed. */
+    private static final int OUT_MOST = 2000;
     private static final long MOST_MICROS = 60_000_000L;
 
     private final int lines;
@@ -80,10 +82,16 @@
     private final Proxy proxy;
     private final ArrayDeque<ClientConnection> straight = new ArrayDeque<>();
     private final ArrayDeque<ClientConnection> over = new ArrayDeque<>();
+    private final boolean straightToo;
+    private int overOut;
 
-    /** @param lines of the proxy's table; those beyond the few real backends have next to no weight */
-    public ProxyLoad(int lines) throws IOException, ConfigError {
+    /**
+     * @param lines of the proxy's table; those beyond the few real backends have next to no weight
+     * @param straightToo whether each request also goes straight; without, the proxy is the first limit
+     */
+    public ProxyLoad(int lines, boolean straightToo) throws IOException, ConfigError {
         this.lines = lines;
+        this.straightToo = straightToo;
         for (int b = 0; b < BACKENDS; b++) {
             backends.add(far.listen(ANY, Connection.Options.usual(),
                     c -> new ServerConnection(Limits.usual(), (request, exchange) ->
@@ -154,7 +162,11 @@
         long next = number;
         for (; next < count && from + next * gap <= near.now(); next++) {
             long at = from + next * gap;
-            ask(straight, backends.get((int) (next % BACKENDS)), at, direct, failed, done);
+            if (straightToo) {
+                ask(straight, backends.get((int) (next % BACKENDS)), at, direct, failed, done);
+            } else {
+                done.countDown();
+            }
             ask(over, proxy.address(), at, passed, failed, done);
         }
         long on = next;
@@ -165,6 +177,12 @@
 
     private void ask(ArrayDeque<ClientConnection> idle, InetSocketAddress to, long at, Histogram took,
             long[] failed, CountDownLatch done) {
+        if (idle == over && overOut >= OUT_MOST) {
+            failed[0]++; // its clients wait for nobody: what cannot be asked is lost
+            done.countDown();
+            return;
+        }
+        overOut += idle == over ? 1 : 0;
         ClientConnection kept = idle.pollLast();
         while (kept != null && !kept.free()) {
             kept = idle.pollLast();
@@ -179,12 +197,14 @@
                 } else {
                     failed[0]++;
                 }
+                overOut -= idle == over ? 1 : 0;
                 idle.addLast(connection);
                 done.countDown();
             }
 
             @Override
             public void failed(boolean neverRan, Close why, String detail) {
+                overOut -= idle == over ? 1 : 0;
                 failed[0]++;
                 done.countDown();
             }
