One name for how long a stopping proxy waits; what nothing asks is gone

A last reading found a setting called stop-within and reloadWithin, and a method on ClientStream that nothing calls.

The record's part is stopWithin as the key is; ClientStream.made is gone.

--- a/src/main/java/rowanmoor/http/ClientStream.java
+++ b/src/main/java/rowanmoor/http/ClientStream.java
@@ -46,7 +46,6 @@
     private boolean keeps;
     private long writtenBefore;
     private long idleSince;
-    private boolean made;
     private boolean interim;
 
     private ClientStream(Loop loop, PartParser parser, Consumer<ClientStream> onGone) {
@@ -136,11 +135,6 @@
         return connection.isClosed();
     }
 
-    /** Whether the connection was made; a request over one that was not may be one that it waits for. */
-    public boolean made() {
-        return made;
-    }
-
     /** Whether any byte of the request in work was written: if not, it never ran. */
     public boolean untouched() {
         return connection.writtenBytes() == writtenBefore;
@@ -163,11 +157,6 @@
         waiting = other;
     }
 
-    @Override
-    public void opened(Connection its) {
-        made = true;
-    }
-
     @Override
     public void received(Connection its, ByteBuffer bytes) {
         try {
--- a/src/main/java/rowanmoor/proxy/Conduct.java
+++ b/src/main/java/rowanmoor/proxy/Conduct.java
@@ -21,13 +21,13 @@
  * @param safeLevel requests a second a class at which a proxy lets in when the lease is over; negative to
  *     keep what it had (the paper's safe capacity)
  * @param deadlineField names the field in which clients state milliseconds left, and which goes on
- * @param reloadWithin a stopping proxy waits so long for requests in work
+ * @param stopWithin a stopping proxy waits so long for requests in work
  * @param homeAfter joined to another controller than its first, it looks for that one about so often, and
  *     moves back; 0 to stay
  */
 public record Conduct(long headWithin, long idleWithin, long wholeWithin, int holdMost, int perBackendMost,
         int idleMost, int inflightMost, int perClientMost, double retryBudget, int refusal, int retryAfter,
-        long lease, double safeLevel, String deadlineField, long reloadWithin, long homeAfter) {
+        long lease, double safeLevel, String deadlineField, long stopWithin, long homeAfter) {
 
     private static final long SECOND = 1_000_000_000L;
 
--- a/src/main/java/rowanmoor/proxy/Proxy.java
+++ b/src/main/java/rowanmoor/proxy/Proxy.java
@@ -144,7 +144,7 @@
         stopped = then;
         listener.close();
         List.copyOf(clients).forEach(ServerStream::stop);
-        loop.after(conduct().reloadWithin(), this::finishStop);
+        loop.after(conduct().stopWithin(), this::finishStop);
         if (working.isEmpty()) {
             finishStop();
         }
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -431,7 +431,7 @@
     void boundsOnRequestsInWorkAndOnOneClientsConnections() throws IOException, ConfigError {
         Conduct u = Conduct.usual();
         Proxy proxy = proxy(c -> new Conduct(u.headWithin(), u.idleWithin(), u.wholeWithin(), u.holdMost(), 2, 2, 3,
-                5, 1, 429, 7, u.lease(), -1, u.deadlineField(), u.reloadWithin(), 0), backend(1));
+                5, 1, 429, 7, u.lease(), -1, u.deadlineField(), u.stopWithin(), 0), backend(1));
         List<Near> clients = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             clients.add(new Near(proxy).say(get("/p/" + i)));
@@ -554,7 +554,7 @@
         Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(home, other), 0, 300 * MS,
                 60 * SECOND, List.of(backend(1)), 15 * SECOND, 250 * MS, 5000, new Conduct(u.headWithin(),
                 u.idleWithin(), u.wholeWithin(), u.holdMost(), 9, 9, 99, 99, 1, 503, 1, u.lease(), -1,
-                u.deadlineField(), u.reloadWithin(), 2 * SECOND)), loop, new SplittableRandom(1), Tap.NONE);
+                u.deadlineField(), u.stopWithin(), 2 * SECOND)), loop, new SplittableRandom(1), Tap.NONE);
         net.runFor(20 * SECOND);
         assertTrue(proxy.joined());
         assertEquals(1, joined[1], "it stays while its first controller is gone");
