A kept connection is read again after an answer whose last piece paused it

A slow client pauses its backend's connection. If the piece that did so was the answer's last, the connection went into the pool paused, and the next request over it was never answered: it ran into its deadline.

ClientStream resumes reading once an answer is whole and the connection is kept.

--- a/src/main/java/rowanmoor/http/ClientStream.java
+++ b/src/main/java/rowanmoor/http/ClientStream.java
@@ -203,6 +203,8 @@
         spent = !keeps || bytes.hasRemaining() || !asked;
         if (spent) {
             connection.close(Close.LOCAL, "not kept alive");
+        } else {
+            connection.resume(); // its last piece may have paused it: the next answer must be read
         }
         answer.whole(trailers);
     }
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -192,6 +192,26 @@
         assertEquals(0, proxy.inflight());
     }
 
+    @Test
+    void aConnectionPausedByTheLastPieceOfAnAnswerIsReadAgainForTheNext() throws IOException, ConfigError {
+        for (int size = 40_000; size <= 400_000; size += 20_000) {
+            reached.clear();
+            Proxy proxy = proxy(backend(1));
+            Near slow = new Near(proxy).say(get("/r/1"));
+            slow.connection.pause();
+            Far far = reached.get(0);
+            far.say("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size - 30_000));
+            far.say("x".repeat(30_000));
+            if (proxy.inflight() > 0) {
+                continue; // paused before its last piece: it goes on when the client reads
+            }
+            Near next = new Near(proxy).say(get("/r/2"));
+            assertEquals(1, reached.size(), "the connection is kept");
+            far.say(OK);
+            assertTrue(next.heard.toString().endsWith("ok"), "after " + size + " bytes: " + next.heard);
+        }
+    }
+
     @Test
     void aLargeRequestStreamsAndASlowBackendHoldsItsClientBack() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
