Actions, events and settings that nothing orders, hears or reads are removed

The queue policy that coalesces by key is used by no connection. Change: all of these are gone, with the branches that carried them out in driver, store, adapter, emulator and connection, and five methods that nothing called. What a channel frame may say stays as it is: its protocol is not touched. The adapter still checks the length of records that it skips. Conclusion: nothing that decides depended on them.

--- a/src/main/java/rowanmoor/ControlApi.java
+++ b/src/main/java/rowanmoor/ControlApi.java
@@ -6,12 +6,9 @@
 /** What a {@link Logic} hears, what it may order, and the settings it starts with. Free of any wire. */
 public interface ControlApi {
 
-    /** All proxies at once, in {@link Admit}. */
+    /** Never a table's number: on the channel it stands for all tables at once. */
     int ALL_TABLES = 65535;
 
-    /** Every peer at once, in {@link Tell}. */
-    long ALL_PEERS = 0xffffffffL;
-
     /** A backend's address: four bytes and a port, packed big end first. Ordered, and otherwise opaque. */
     record Backend(long id) implements Comparable<Backend> {
         @Override
@@ -65,8 +62,6 @@
     record Probed(Backend backend, boolean ok, int status, long latency,
             List<Double> load) implements Event { }
 
-    record Told(int from, byte[] data) implements Event { }
-
     record ProxyJoined(int proxy, int zone, double rate, boolean fresh) implements Event { }
 
     record ProxyLeft(int proxy) implements Event { }
@@ -81,33 +76,21 @@
     /** What came to a proxy. {@code failed} were let in and never answered. */
     record Usage(int proxy, int cls, long requests, long failed, long span) implements Event { }
 
-    record SliceUsage(int slice, int cls, long requests, long failed, long span) implements Event { }
-
-    record SliceGiven(int slice, boolean given) implements Event { }
-
-    record SliceLine(int slice, Backend backend, double weight) implements Event { }
-
     /** What one instance orders. All orders of one round become one message for each proxy concerned. */
     sealed interface Action { }
 
     record Watch(boolean on) implements Action { }
 
-    record Fetch() implements Action { }
-
     record Probe(Backend backend) implements Action { }
 
-    record Tell(long peer, byte[] data) implements Action { }
-
     record SetLine(int table, Backend backend, double weight) implements Action { }
 
-    record ClearTable(int table) implements Action { }
-
     record Withdraw(Backend backend, boolean out) implements Action { }
 
     /** {@code classes} is a bit set by class number; 0 means all. */
     record Admit(int table, int classes, double level, Retry retry) implements Action { }
 
-    record Mark(int number, boolean everyProxy) implements Action { }
+    record Mark(int number) implements Action { }
 
     record Bind(int proxy, int table, int classes) implements Action { }
 
@@ -135,8 +118,8 @@
         }
     }
 
-    /** Which figures load reports carry, by place; -1 where the site has no such figure. */
-    record ReportColumns(int inflight, int queue, int busy, int latencyMs, int rate, int failRate) { }
+    /** Which figures of load reports are heard, by place; -1 where the site has no such figure. */
+    record ReportColumns(int queue, int busy) { }
 
     /** The rules' figures. */
     record Rules(long bareLimit, long drainGrace, boolean goneIsAdvice, long coldFor, double coldFrom,
@@ -160,10 +143,7 @@
     }
 
     /** All that an instance is told at its start. */
-    record Settings(int instances, int rank, int zone, int zones, int kinds, List<ClassSpec> classes,
-            boolean mustAsk, boolean mayProbe, boolean mayTell, boolean warmKeys, boolean weightsListed,
-            Admission admission, Retry usualRetry, double tryAims, int standing, int ejects,
-            int proxies, int slices, boolean exclusive, long period, double hearsPerSecond,
-            double crossZonePrice, double probePrice, double orderPrice,
-            ReportColumns columns, Rules rules, Channel channel) { }
+    record Settings(int instances, int zones, List<ClassSpec> classes, boolean mustAsk, boolean mayProbe,
+            Admission admission, int ejects, int proxies, int slices, long period, double hearsPerSecond,
+            double crossZonePrice, ReportColumns columns, Rules rules, Channel channel) { }
 }
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -636,7 +636,7 @@
         bind(now);
         int mark = sent.closeReply();
         if (mark >= 0) {
-            actions.add(new Mark(mark, false)); // the answers tell what has left the channel
+            actions.add(new Mark(mark)); // the answers tell what has left the channel
             nextMessage = now + (long) (MESSAGE_SPARE * settings.channel().messageGap());
         }
     }
--- a/src/main/java/rowanmoor/benchlink/Reader.java
+++ b/src/main/java/rowanmoor/benchlink/Reader.java
@@ -16,12 +16,8 @@
 import rowanmoor.ControlApi.Probed;
 import rowanmoor.ControlApi.ProxyJoined;
 import rowanmoor.ControlApi.ProxyLeft;
-import rowanmoor.ControlApi.SliceGiven;
-import rowanmoor.ControlApi.SliceLine;
-import rowanmoor.ControlApi.SliceUsage;
 import rowanmoor.ControlApi.Tally;
 import rowanmoor.ControlApi.Timer;
-import rowanmoor.ControlApi.Told;
 import rowanmoor.ControlApi.Usage;
 
 /** Decodes one batch, record by record. Lists are numbered, and a number is reused, so order matters. */
@@ -36,6 +32,7 @@
 
     record Heard(long who, Event event) implements Item { }
 
+    private static final int TOLD = 50;
     private static final int STATUS_OK = 10;
     private static final int LIST_SLOTS = 16;
     private static final int ENTRY_BYTES = 25;
@@ -75,8 +72,8 @@
             readList(in);
             return null;
         }
-        if (code < 10 || code > 140 || code % 10 != 0) {
-            return null;
+        if (code < 10 || code > 110 || code % 10 != 0 || code == TOLD) {
+            return null; // peers' messages and slices: nothing here hears of them
         }
         long who = in.getInt() & 0xffffffffL;
         return switch (code) {
@@ -91,15 +88,11 @@
             case 20 -> members(in);
             case 30 -> new Timer(in.getLong());
             case 40 -> probed(in);
-            case 50 -> new Told(u16(in), bytes(in, u16(in)));
             case 70 -> new ProxyJoined(u16(in), u16(in), in.getFloat(), in.get() != 0);
             case 80 -> new ProxyLeft(u16(in));
             case 90 -> new Applied(u16(in), in.getInt(), in.getLong());
             case 100 -> tally(in);
             case 110 -> new Usage(u16(in), u16(in), u32(in), u32(in), in.getLong());
-            case 120 -> sliceUsage(in);
-            case 130 -> new SliceGiven(u16(in), in.get() != 0);
-            case 140 -> new SliceLine(u16(in), backend(in), in.getFloat());
             default -> throw new MalformedInput("record of code " + code + " has no meaning");
         };
     }
@@ -138,14 +131,6 @@
         return new Tally(backend, zone, tries, failed, latency, span, load(in));
     }
 
-    private Event sliceUsage(ByteBuffer in) {
-        long span = in.getLong();
-        int cls = u16(in);
-        int slice = u16(in);
-        long failed = u32(in);
-        return new SliceUsage(slice, cls, u32(in), failed, span);
-    }
-
     private void readList(ByteBuffer in) {
         int slot = u16(in);
         long count = u32(in);
--- a/src/main/java/rowanmoor/benchlink/SettingsParser.java
+++ b/src/main/java/rowanmoor/benchlink/SettingsParser.java
@@ -13,7 +13,6 @@
 import rowanmoor.ControlApi.Effect;
 import rowanmoor.ControlApi.Group;
 import rowanmoor.ControlApi.ReportColumns;
-import rowanmoor.ControlApi.Retry;
 import rowanmoor.ControlApi.Rules;
 import rowanmoor.ControlApi.Settings;
 
@@ -47,17 +46,12 @@
         for (int i = 0; i < count; i++) {
             classes.add(classSpec(i));
         }
-        return new Settings(whole("balancers"), whole("rank"), whole("zone"), list("dcs").size(),
-                list("kinds").size(), List.copyOf(classes),
-                word("registry_mode", Map.of("pushed", false, "on_request", true)),
-                flag("limits.probes"), flag("limits.may_tell"), optionalFlag("extra.warm_keys"),
-                !text("weights").equals("off"),
+        return new Settings(whole("balancers"), list("dcs").size(), List.copyOf(classes),
+                word("registry_mode", Map.of("pushed", false, "on_request", true)), flag("limits.probes"),
                 word("extra.admission", Map.of("fraction", Admission.SHARE, "per_second", Admission.RATE,
                         "off", Admission.OFF)),
-                retry(whole("extra.base_mode")), number("extra.try_aims"), whole("extra.bootstrap"),
                 whole("extra.ejects"), whole("extra.proxy_count"), whole("extra.key_ranges"),
-                flag("extra.one_owner"), time("extra.interval_ns"), number("extra.hears_per_s"),
-                number("penalties.cross_zone"), number("penalties.probe"), number("extra.line_fee"),
+                time("extra.interval_ns"), number("extra.hears_per_s"), number("penalties.cross_zone"),
                 columns(), rules(), channel());
     }
 
@@ -74,8 +68,7 @@
 
     private ReportColumns columns() {
         List<String> names = list("report.columns");
-        return new ReportColumns(names.indexOf("rif"), names.indexOf("q"), names.indexOf("busy"),
-                names.indexOf("lat_ms"), names.indexOf("rate"), names.indexOf("fail_rate"));
+        return new ReportColumns(names.indexOf("q"), names.indexOf("busy"));
     }
 
     private Rules rules() {
@@ -163,11 +156,4 @@
         }
         return places;
     }
-
-    private static Retry retry(int mode) {
-        if (mode < 0 || mode >= Retry.values().length) {
-            throw new MalformedInput("setting extra.base_mode is out of range: " + mode);
-        }
-        return Retry.values()[mode];
-    }
 }
--- a/src/main/java/rowanmoor/benchlink/Writer.java
+++ b/src/main/java/rowanmoor/benchlink/Writer.java
@@ -9,13 +9,10 @@
 import rowanmoor.ControlApi.Admit;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Bind;
-import rowanmoor.ControlApi.ClearTable;
-import rowanmoor.ControlApi.Fetch;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Mark;
 import rowanmoor.ControlApi.Probe;
 import rowanmoor.ControlApi.SetLine;
-import rowanmoor.ControlApi.Tell;
 import rowanmoor.ControlApi.TimerAt;
 import rowanmoor.ControlApi.Watch;
 import rowanmoor.ControlApi.Withdraw;
@@ -36,10 +33,8 @@
                     .putFloat((float) a.level()).put((byte) a.retry().ordinal()));
         } else if (action instanceof Log a) {
             put(30, text(who, a.text()));
-        } else if (action instanceof ClearTable a) {
-            put(40, start(who, 2).putShort((short) a.table()));
         } else if (action instanceof Mark a) {
-            put(50, start(who, 5).putInt(a.number()).put(flag(a.everyProxy())));
+            put(50, start(who, 5).putInt(a.number()).put(flag(false)));
         } else if (action instanceof Probe a) {
             put(60, backend(start(who, 6), a.backend()));
         } else if (action instanceof Withdraw a) {
@@ -47,16 +42,11 @@
         } else if (action instanceof SetLine a) {
             put(80, backend(start(who, 12), a.backend()).putFloat((float) a.weight())
                     .putShort((short) a.table()));
-        } else if (action instanceof Tell a) {
-            put(90, start(who, 6 + a.data().length).putInt((int) a.peer()).putShort((short) a.data().length)
-                    .put(a.data()));
         } else if (action instanceof TimerAt a) {
             put(100, start(who, 16).putLong(a.time()).putLong(a.token()));
         } else if (action instanceof Bind a) {
             put(110, start(who, 6).putShort((short) a.proxy()).putShort((short) a.table())
                     .putShort((short) a.classes()));
-        } else if (action instanceof Fetch) {
-            put(120, start(who, 0));
         }
     }
 
--- a/src/main/java/rowanmoor/config/Site.java
+++ b/src/main/java/rowanmoor/config/Site.java
@@ -25,8 +25,7 @@
 public record Site(List<String> zones, List<String> kinds, List<String> classNames, List<String> prefixes,
         List<ClassSpec> classes, List<String> columns, Choice choice, Admission admission, Retry usualRetry,
         double tryAims, int standing, int ejects, long ejectFor, int proxies, boolean mayProbe, long period,
-        double intake, double crossZonePrice, double probePrice, double orderPrice, Rules rules,
-        Channel channel) {
+        double intake, double crossZonePrice, Rules rules, Channel channel) {
 
     /** How a proxy picks a line of its table. */
     public enum Choice {
@@ -90,8 +89,7 @@
                 s.whole("ejects", 0, 100, 5), s.duration("eject-for", "0s", "60s", "4s"),
                 s.whole("proxies", 1, PROXIES_MOST), s.flag("probes", true),
                 s.duration("period", "100ms", "60s", "1s"), s.rate("intake", 1, 1e6),
-                s.number("cross-zone-price", 0, 1, 0.05), s.number("probe-price", 0, 1, 0.02),
-                s.number("order-price", 0, 1, 0.04), rules(s.section("rules")),
+                s.number("cross-zone-price", 0, 1, 0.05), rules(s.section("rules")),
                         channel(s.section("channel")));
         s.finish();
         return site;
@@ -153,14 +151,10 @@
     }
 
     /** What one instance of the module is told at its start. */
-    public Settings settings(int instances, int rank, int zone) {
-        return new Settings(instances, rank, zone, zones.size(), kinds.size(), classes, true, mayProbe, false,
-                false, true, admission, usualRetry, tryAims, standing, ejects, proxies, 0, false, period,
-                intake, crossZonePrice, probePrice, orderPrice,
-                new ReportColumns(columns.indexOf("inflight"), columns.indexOf("queue"),
-                        columns.indexOf("busy"), columns.indexOf("latency-ms"), columns.indexOf("rate"),
-                        columns.indexOf("fail-rate")),
-                rules, channel);
+    public Settings settings(int instances) {
+        return new Settings(instances, zones.size(), classes, true, mayProbe, admission, ejects, proxies, 0,
+                period, intake, crossZonePrice, new ReportColumns(columns.indexOf("queue"),
+                        columns.indexOf("busy")), rules, channel);
     }
 
     /** The class of a request's path, or -1: the longest prefix decides. */
--- a/src/main/java/rowanmoor/controller/Controller.java
+++ b/src/main/java/rowanmoor/controller/Controller.java
@@ -62,7 +62,7 @@
             throws IOException {
         this.config = config;
         this.loop = loop;
-        Settings settings = config.site().settings(config.instances(), config.rank(), config.zone());
+        Settings settings = config.site().settings(config.instances());
         this.trace = config.trace() == null ? null : new Trace(config.trace(), settings, seed);
         this.capture = config.capture() == null ? null : new CaptureWriter(config.capture(),
                 new LoadRecord.Start(loop.now(), wall.getAsLong(), config.rank(), epoch,
@@ -208,11 +208,6 @@
         roster.watch(on);
     }
 
-    @Override
-    public void fetch() {
-        roster.fetch();
-    }
-
     @Override
     public void probe(Backend backend) {
         prober.probe(backend);
--- a/src/main/java/rowanmoor/controller/Driver.java
+++ b/src/main/java/rowanmoor/controller/Driver.java
@@ -16,9 +16,7 @@
 import rowanmoor.ControlApi.Applied;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Bind;
-import rowanmoor.ControlApi.ClearTable;
 import rowanmoor.ControlApi.Event;
-import rowanmoor.ControlApi.Fetch;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Mark;
 import rowanmoor.ControlApi.Member;
@@ -49,8 +47,6 @@
 
         void watch(boolean on);
 
-        void fetch();
-
         void probe(Backend backend);
 
         /** A message that has left the channel, for the stream of this proxy. */
@@ -205,7 +201,7 @@
         bindings.forEach((table, classes) -> bound.add(new Frame.Binding(table, classes)));
         return new Frame.Snapshot(epoch, peer.version, now, Math.round(outbox.waiting()),
                 bindings.keySet().stream().map(store::whole).toList(), bound, List.copyOf(withdrawn),
-                store.overall());
+                List.of());
     }
 
     // ---- a tick --------------------------------------------------------------------------------------
@@ -265,9 +261,6 @@
                 store.setLine(a.table(), a.backend(), a.weight());
                 Frame.Line line = new Frame.Line(a.backend(), a.weight());
                 toUsers(messages, a.table(), new Frame.SetLine(a.table(), line));
-            } else if (action instanceof ClearTable a) {
-                store.clear(a.table());
-                toUsers(messages, a.table(), new Frame.Clear(a.table()));
             } else if (action instanceof Withdraw a) {
                 store.withdraw(a.backend(), a.out());
                 peers.forEach((proxy, peer) -> {
@@ -285,8 +278,6 @@
                 alarms.add(new Alarm(a.time(), alarmNumber++, a.token()));
             } else if (action instanceof Watch a) {
                 outside.watch(a.on());
-            } else if (action instanceof Fetch) {
-                outside.fetch();
             } else if (action instanceof Probe a) {
                 outside.probe(a.backend());
             } else if (action instanceof Log a) {
@@ -312,13 +303,8 @@
     private void admit(TreeMap<Integer, List<Frame.Order>> messages, Admit admit) {
         Frame.Order order = new Frame.Admit(admit.table(),
                 TableStore.level(admit, settings.classes().size()));
-        if (admit.table() == ControlApi.ALL_TABLES) {
-            store.admitOverall(admit);
-            peers.keySet().forEach(proxy -> add(messages, proxy, order));
-        } else {
-            store.admit(admit.table(), admit);
-            toUsers(messages, admit.table(), order);
-        }
+        store.admit(admit.table(), admit);
+        toUsers(messages, admit.table(), order);
     }
 
     private void bind(TreeMap<Integer, List<Frame.Order>> messages, Bind bind) {
@@ -337,9 +323,6 @@
     }
 
     private void mark(TreeMap<Integer, List<Frame.Order>> messages, long now, Mark mark) {
-        if (mark.everyProxy()) {
-            peers.keySet().forEach(p -> messages.computeIfAbsent(p, k -> new ArrayList<>()));
-        }
         messages.values().forEach(orders -> orders.add(new Frame.Mark(mark.number())));
         markedAt.put(mark.number(), now);
         if (markedAt.size() > MARKS_KEPT) {
--- a/src/main/java/rowanmoor/controller/TableStore.java
+++ b/src/main/java/rowanmoor/controller/TableStore.java
@@ -20,7 +20,6 @@
 
     private final int classes;
     private final TreeMap<Integer, Table> tables = new TreeMap<>();
-    private final TreeMap<Integer, Frame.Level> overall = new TreeMap<>();
     private final TreeSet<Backend> withdrawn = new TreeSet<>();
 
     TableStore(int classes) {
@@ -40,11 +39,6 @@
         }
     }
 
-    void clear(int number) {
-        table(number).lines.clear();
-        table(number).levels.clear();
-    }
-
     void withdraw(Backend backend, boolean out) {
         if (out) {
             withdrawn.add(backend);
@@ -54,14 +48,7 @@
     }
 
     void admit(int number, Admit admit) {
-        put(table(number).levels, admit);
-    }
-
-    void admitOverall(Admit admit) {
-        put(overall, admit);
-    }
-
-    private void put(Map<Integer, Frame.Level> levels, Admit admit) {
+        Map<Integer, Frame.Level> levels = table(number).levels;
         for (int c = 0; c < classes; c++) {
             if (admit.classes() == 0 || (admit.classes() >> c & 1) == 1) {
                 levels.put(c, new Frame.Level(1 << c, admit.level(), admit.retry()));
@@ -84,10 +71,6 @@
         return table(number).lines.keySet().stream().filter(withdrawn::contains).toList();
     }
 
-    List<Frame.Level> overall() {
-        return List.copyOf(overall.values());
-    }
-
     /** The weights ordered for a table; for readers outside the wire. */
     Map<Backend, Double> lines(int number) {
         return Map.copyOf(table(number).lines);
--- a/src/main/java/rowanmoor/discovery/RosterClient.java
+++ b/src/main/java/rowanmoor/discovery/RosterClient.java
@@ -75,15 +75,6 @@
         }
     }
 
-    /** Asks for the whole list once. A watch answers that as well. */
-    public void fetch() {
-        if (!asking) {
-            index = 0;
-            view.restart();
-            ask();
-        }
-    }
-
     private void stop() {
         if (patience != null) {
             patience.cancel();
--- a/src/main/java/rowanmoor/emulator/Emulator.java
+++ b/src/main/java/rowanmoor/emulator/Emulator.java
@@ -835,11 +835,6 @@
             agenda.add(now + 2 * model.sameZone(), NOTICED, rank, 0);
         }
 
-        @Override
-        public void fetch() {
-            agenda.add(now + 2 * model.sameZone(), NOTICED, rank, 0);
-        }
-
         @Override
         public void probe(Backend its) {
             int b = (int) (its.id() >> 16 & 0xffffff);
@@ -864,9 +859,8 @@
     }
 
     private void startController(int rank, long seed) {
-        drivers[rank] = new Driver(model.site().settings(drivers.length, rank,
-                model.controllerZones().get(rank)),
-                seed, ++epochs, now, new Surroundings(rank), () -> 0);
+        drivers[rank] = new Driver(model.site().settings(drivers.length), seed, ++epochs, now,
+                new Surroundings(rank), () -> 0);
         drivers[rank].hearList(new Members(ListKind.CACHED, version, List.of()));
         dead[rank] = false;
         tickAt[rank] = Long.MAX_VALUE;
--- a/src/main/java/rowanmoor/kdl/Value.java
+++ b/src/main/java/rowanmoor/kdl/Value.java
@@ -20,10 +20,6 @@
         return content instanceof Boolean;
     }
 
-    public boolean isNull() {
-        return content == null;
-    }
-
     /** As it would be quoted in a message. */
     @Override
     public String toString() {
--- a/src/main/java/rowanmoor/net/Bound.java
+++ b/src/main/java/rowanmoor/net/Bound.java
@@ -13,8 +13,6 @@
     public enum Policy {
         /** It is not taken: {@link Connection#send} answers false. */
         REFUSE,
-        /** It takes the place of a waiting frame of the same key, if there is one; else as REFUSE. */
-        COALESCE,
         /** The connection is closed with {@link Close#OVERFLOW}. */
         CLOSE
     }
--- a/src/main/java/rowanmoor/net/Connection.java
+++ b/src/main/java/rowanmoor/net/Connection.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.Iterator;
 
 /**
  * One connection of a {@link Loop}: reads as its handler lets it, writes from a bounded queue, and is
@@ -17,13 +16,11 @@
     /** Reads of one readiness before other connections have their turn. */
     private static final int READS_A_TURN = 4;
 
-    private record Waiting(ByteBuffer frame, Object key) { }
-
     private final Loop loop;
     private final Wire wire;
     private final Handler handler;
     private final Bound bound;
-    private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+    private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
     private final long idleAfter;
     private State state;
     private long queuedBytes;
@@ -32,7 +29,6 @@
     private boolean paused;
     private boolean peerEnded;
     private boolean outputEnded;
-    private boolean headStarted;
     private boolean dirty;
     private long heardAt;
     private Timer idle;
@@ -86,25 +82,18 @@
 
     /** Queues a frame; it is written at the end of the loop's turn. False if it was not taken. */
     public boolean send(ByteBuffer frame) {
-        return send(frame, null);
-    }
-
-    /** Queues a frame that may later give way to a newer one of the same key. */
-    public boolean send(ByteBuffer frame, Object key) {
         if (state == State.CLOSED || state == State.ENDING) {
             return false;
         }
-        if (!fits(frame) && !(bound.policy() == Bound.Policy.COALESCE && replace(frame, key))) {
+        if (!fits(frame)) {
             if (bound.policy() == Bound.Policy.CLOSE) {
                 close(Close.OVERFLOW, queue.size() + " frames of " + queuedBytes + " bytes wait");
             }
             return false;
         }
-        if (fits(frame)) {
-            queue.add(new Waiting(frame, key));
-            queuedBytes += frame.remaining();
-            mostQueuedBytes = Math.max(mostQueuedBytes, queuedBytes);
-        }
+        queue.add(frame);
+        queuedBytes += frame.remaining();
+        mostQueuedBytes = Math.max(mostQueuedBytes, queuedBytes);
         markDirty();
         return true;
     }
@@ -113,32 +102,6 @@
         return queue.size() < bound.frames() && queuedBytes + frame.remaining() <= bound.bytes();
     }
 
-    /** Puts a frame in the place of a waiting one of the same key; the head stays if it is partly written. */
-    private boolean replace(ByteBuffer frame, Object key) {
-        ArrayDeque<Waiting> kept = new ArrayDeque<>(queue.size());
-        boolean replaced = false;
-        Iterator<Waiting> waiting = queue.iterator();
-        boolean head = true;
-        while (waiting.hasNext()) {
-            Waiting next = waiting.next();
-            boolean started = head && headStarted;
-            head = false;
-            boolean room = queuedBytes - next.frame().remaining() + frame.remaining() <= bound.bytes();
-            if (!replaced && !started && key != null && key.equals(next.key()) && room) {
-                queuedBytes += frame.remaining() - next.frame().remaining();
-                kept.add(new Waiting(frame, key));
-                replaced = true;
-            } else {
-                kept.add(next);
-            }
-        }
-        if (replaced) {
-            queue.clear();
-            queue.addAll(kept);
-        }
-        return replaced;
-    }
-
     private void markDirty() {
         if (!dirty && state != State.CONNECTING) {
             dirty = true;
@@ -319,16 +282,14 @@
         boolean had = !queue.isEmpty();
         try {
             while (!queue.isEmpty()) {
-                ByteBuffer head = queue.peek().frame();
+                ByteBuffer head = queue.peek();
                 int before = head.remaining();
                 wire.write(head);
                 queuedBytes -= before - head.remaining();
                 writtenBytes += before - head.remaining();
                 if (head.hasRemaining()) {
-                    headStarted |= head.remaining() < before;
                     break;
                 }
-                headStarted = false;
                 queue.poll();
             }
             if (queue.isEmpty() && state == State.ENDING) {
--- a/src/main/java/rowanmoor/net/Loop.java
+++ b/src/main/java/rowanmoor/net/Loop.java
@@ -268,10 +268,6 @@
         return faults;
     }
 
-    public int connectionCount() {
-        return connections.size();
-    }
-
     ByteBuffer scratch() {
         return scratch.clear();
     }
--- a/src/main/java/rowanmoor/standin/Link.java
+++ b/src/main/java/rowanmoor/standin/Link.java
@@ -73,11 +73,6 @@
         }
     }
 
-    /** Breaks all streams that pass now. */
-    public void breakAll() {
-        List.copyOf(halves).forEach(h -> h.connection.reset("broken on purpose"));
-    }
-
     private final class Half implements Handler {
         private Connection connection;
         private Half other;
--- a/src/main/java/rowanmoor/standin/RosterServer.java
+++ b/src/main/java/rowanmoor/standin/RosterServer.java
@@ -141,12 +141,6 @@
         changed();
     }
 
-    /** Its index starts over, as after a restore from a backup. */
-    public void indexBack() {
-        index = 0;
-        changed();
-    }
-
     // ---- requests ------------------------------------------------------------------------------------
 
     @Override
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -24,7 +24,6 @@
 import rowanmoor.ControlApi.ProxyLeft;
 import rowanmoor.ControlApi.Retry;
 import rowanmoor.ControlApi.SetLine;
-import rowanmoor.ControlApi.SliceGiven;
 import rowanmoor.ControlApi.TimerAt;
 import rowanmoor.ControlApi.Watch;
 import rowanmoor.ControlApi.Withdraw;
@@ -483,7 +482,6 @@
     @Test
     void aSiteWithSlicesGetsWithdrawalsAndNobodyIsBound() {
         Stand sliced = new Stand(TestSettings.with(TestSettings.plain().classes(), false, 0, 4)).start(4, 2);
-        sliced.hear(new SliceGiven(3, true));
         sliced.hear(new Members(ListKind.DELTA, 2, List.of(Stand.member(1, 1, Listed.DRAINING, 0))));
         assertTrue(sliced.withdrawn.get(Stand.backend(1)));
         assertTrue(sliced.bound.isEmpty());
--- a/src/test/java/rowanmoor/TestSettings.java
+++ b/src/test/java/rowanmoor/TestSettings.java
@@ -8,7 +8,6 @@
 import rowanmoor.ControlApi.Effect;
 import rowanmoor.ControlApi.Group;
 import rowanmoor.ControlApi.ReportColumns;
-import rowanmoor.ControlApi.Retry;
 import rowanmoor.ControlApi.Rules;
 import rowanmoor.ControlApi.Settings;
 
@@ -56,9 +55,8 @@
 
     private static Settings of(List<ClassSpec> classes, boolean mustAsk, int slices, int proxies,
             double hearsPerSecond, int busyColumn, int ejects, Channel channel) {
-        return new Settings(1, 0, 0, 2, 2, classes, mustAsk, false, false, false, true, Admission.RATE,
-                Retry.ONCE_UNRUN, 1.2, 5, ejects, proxies, slices, false, SECOND, hearsPerSecond, 0.05, 0.02, 0.04,
-                new ReportColumns(-1, -1, busyColumn, -1, -1, -1),
+        return new Settings(1, 2, classes, mustAsk, false, Admission.RATE, ejects, proxies, slices, SECOND,
+                hearsPerSecond, 0.05, new ReportColumns(-1, busyColumn),
                 new Rules(3 * SECOND, 2 * SECOND, false, 10 * SECOND, 0.2, 4, 2 * SECOND, 10 * SECOND),
                 channel);
     }
--- a/src/test/java/rowanmoor/benchlink/LinkTest.java
+++ b/src/test/java/rowanmoor/benchlink/LinkTest.java
@@ -19,8 +19,6 @@
 import rowanmoor.ControlApi.Admit;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Bind;
-import rowanmoor.ControlApi.ClearTable;
-import rowanmoor.ControlApi.Fetch;
 import rowanmoor.ControlApi.Listed;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Mark;
@@ -33,7 +31,6 @@
 import rowanmoor.ControlApi.Retry;
 import rowanmoor.ControlApi.SetLine;
 import rowanmoor.ControlApi.Tally;
-import rowanmoor.ControlApi.Tell;
 import rowanmoor.ControlApi.TimerAt;
 import rowanmoor.ControlApi.Usage;
 import rowanmoor.ControlApi.Watch;
@@ -113,29 +110,23 @@
         writer.add(3, new Watch(true));
         writer.add(3, new Admit(117, 2, 0.75, Retry.ONCE_UNRUN));
         writer.add(3, new Log("ab"));
-        writer.add(3, new ClearTable(117));
-        writer.add(3, new Mark(12, false));
+        writer.add(3, new Mark(12));
         writer.add(3, new Probe(B));
         writer.add(3, new Withdraw(B, true));
         writer.add(3, new SetLine(117, B, 0.75));
-        writer.add(3, new Tell(0xffffffffL, new byte[] {1, 2}));
         writer.add(3, new TimerAt(7, 77));
         writer.add(3, new Bind(41, 117, 0));
-        writer.add(3, new Fetch());
         writer.die(3, "x");
-        assertArrayEquals(hex("05000000 c8000000 0d000000"
+        assertArrayEquals(hex("05000000 a3000000 0a000000"
                 + "0a 05000000 03000000 01"
                 + "14 0d000000 03000000 7500 0200 0000403f 01"
                 + "1e 08000000 03000000 0200 6162"
-                + "28 06000000 03000000 7500"
                 + "32 09000000 03000000 0c000000 00"
                 + "3c 0a000000 03000000" + B_HEX
                 + "46 0b000000 03000000" + B_HEX + "01"
                 + "50 10000000 03000000" + B_HEX + "0000403f 7500"
-                + "5a 0c000000 03000000 ffffffff 0200 0102"
                 + "64 14000000 03000000 0700000000000000 4d00000000000000"
                 + "6e 0a000000 03000000 2900 7500 0000"
-                + "78 04000000 03000000"
                 + "82 07000000 03000000 0100 78"), writer.reply(5));
     }
 
--- a/src/test/java/rowanmoor/benchlink/SettingsParserTest.java
+++ b/src/test/java/rowanmoor/benchlink/SettingsParserTest.java
@@ -7,25 +7,20 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import rowanmoor.ControlApi.Effect;
-import rowanmoor.ControlApi.Retry;
 import rowanmoor.ControlApi.Settings;
 
 class SettingsParserTest {
 
     static final String SETTINGS = String.join("\n",
-            "balancers=1", "rank=0", "zone=0", "dcs=left,right", "kinds=small,large", "classes.count=2",
+            "balancers=1", "dcs=left,right", "classes.count=2",
             "classes.0.aim_ns=700000000", "classes.0.deadline_ns=2000000000", "classes.0.credit=1.0",
             "classes.0.late_worth=0.3", "classes.0.effect=retryable", "classes.0.key_scope=all",
             "classes.0.window_ns=5000000000", "classes.1.aim_ns=900000000",
                     "classes.1.deadline_ns=2000000000",
             "classes.1.credit=4.0", "classes.1.late_worth=0.3", "classes.1.effect=dedup",
             "classes.1.key_scope=zone", "classes.1.window_ns=1500000000", "classes.1.only_kinds=1",
-            "registry_mode=pushed", "limits.probes=false", "limits.may_tell=false", "weights=nominal",
-            "extra.admission=per_second", "extra.base_mode=1", "extra.try_aims=1.1", "extra.bootstrap=4",
-            "extra.ejects=0", "extra.proxy_count=6", "extra.key_ranges=0", "extra.one_owner=false",
-            "extra.interval_ns=1000000000", "extra.hears_per_s=200.0", "extra.mutating=false,true",
-            "extra.home_only=false,false", "penalties.cross_zone=0.01", "penalties.probe=0.0",
-            "extra.line_fee=0.04", "report.columns=busy,rif", "extra.blackhole_ns=3000000000",
+            "registry_mode=pushed", "limits.probes=false",             "extra.admission=per_second",             "extra.ejects=0", "extra.proxy_count=6", "extra.key_ranges=0",             "extra.interval_ns=1000000000", "extra.hears_per_s=200.0", "extra.mutating=false,true",
+            "extra.home_only=false,false", "penalties.cross_zone=0.01",             "report.columns=busy,rif", "extra.blackhole_ns=3000000000",
             "rules.drain_grace_ns=2500000000", "rules.cold_ns=9000000000", "rules.cold_from=0.2",
             "rules.overload_factor=3.0", "rules.fall_ns=1000000000", "extra.egress_per_s=3000.0",
             "extra.per_message=7.0", "extra.most_waiting=5000.0", "extra.messages_most=0",
@@ -39,9 +34,7 @@
         assertEquals(Effect.KEYED, settings.classes().get(1).effect());
         assertEquals(Set.of(1), settings.classes().get(1).onlyKinds());
         assertTrue(settings.classes().get(1).write());
-        assertEquals(Retry.ONCE_UNRUN, settings.usualRetry());
         assertEquals(0, settings.columns().busy());
-        assertEquals(1, settings.columns().inflight());
         assertEquals(-1, settings.columns().queue());
         assertEquals(2_500_000_000L, settings.rules().drainGrace());
         assertEquals(7, settings.channel().head());
@@ -59,7 +52,7 @@
             assertTrue(missing.getMessage().contains(key), missing.getMessage());
         }
         MalformedInput wrong = assertThrows(MalformedInput.class,
-                () -> SettingsParser.parse(SETTINGS.replace("zone=0", "zone=x")));
-        assertTrue(wrong.getMessage().contains("setting zone is not a number"), wrong.getMessage());
+                () -> SettingsParser.parse(SETTINGS.replace("extra.ejects=0", "extra.ejects=x")));
+        assertTrue(wrong.getMessage().contains("setting extra.ejects is not a number"), wrong.getMessage());
     }
 }
--- a/src/test/java/rowanmoor/controller/DriverPartsTest.java
+++ b/src/test/java/rowanmoor/controller/DriverPartsTest.java
@@ -94,7 +94,7 @@
 
     /** Plays the same minute into a driver; answers all that it was fed, ordered and sent. */
     private static List<String> minute(long seed, Trace trace) throws ConfigError {
-        Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1, 0, 0);
+        Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1);
         List<String> story = new ArrayList<>();
         Driver driver = new Driver(settings, seed, 5, START, new Driver.Outside() {
             @Override
@@ -102,11 +102,6 @@
                 story.add("watch " + on);
             }
 
-            @Override
-            public void fetch() {
-                story.add("fetch");
-            }
-
             @Override
             public void probe(Backend backend) {
                 story.add("probe " + backend);
@@ -164,7 +159,7 @@
     void aTraceIsReplayedToTheSameOrdersAndACutOrChangedOneIsTold(@TempDir Path dir)
             throws IOException, ConfigError {
         Path file = dir.resolve("t.trace");
-        Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1, 0, 0);
+        Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1);
         try (Trace trace = new Trace(file, settings, 3)) {
             minute(3, trace);
         }
@@ -181,7 +176,7 @@
 
     @Test
     void marksOfAnotherEpochAreNotPassedOn() throws ConfigError {
-        Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1, 0, 0);
+        Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1);
         List<Event> fed = new ArrayList<>();
         Driver driver = new Driver(settings, 1, 5, START, new Silent() {
             @Override
@@ -201,9 +196,6 @@
         @Override
         public void watch(boolean on) { }
 
-        @Override
-        public void fetch() { }
-
         @Override
         public void probe(Backend backend) { }
 
--- a/src/test/java/rowanmoor/net/LoopTest.java
+++ b/src/test/java/rowanmoor/net/LoopTest.java
@@ -176,17 +176,6 @@
         assertEquals(Close.OVERFLOW, client.why);
     }
 
-    @Test
-    void aFullQueueCoalescesByKey() throws IOException {
-        Connection connection = stuck(new Bound(100, 2, Bound.Policy.COALESCE), new Ear());
-        assertTrue(connection.send(bytes("a1"), "a"));
-        assertTrue(connection.send(bytes("b1"), "b"));
-        assertTrue(connection.send(bytes("b2 is longer"), "b"));
-        assertFalse(connection.send(bytes("c1"), "c"));
-        assertEquals(2, connection.queuedFrames());
-        assertEquals(14, connection.queuedBytes());
-    }
-
     @Test
     void withoutDescriptorsAcceptingRestsAndDoesNotSpin() throws IOException {
         List<Ear> served = new ArrayList<>();
