A total of zero is left again, and a level lifts without demand

Seen: after an outage in which every try failed and nothing was proven, the total was set to the served rate, 0; raised by multiplication it stayed 0, and levels stood at the floor of a tenth for good: 1.46 requests a second of 15 asked for, a minute after all was well. With nobody asking, 0 > 1.3 * 0 kept the total as well. Ruled out: the bound over what is served (it only lowers), the floor (it lets a tenth in, which is served). Lines at fault: setTotal's raise, setLevels' lift. Change: in calm the total is never under 0.9 of what is served, and is lifted at 1.3 times the demand, 0 included. Tests: aTotalOfZeroIsLeftAgainOnceSomethingIsServed, theLiftOfALevelNeedsNoDemand fail without it; no proxy, no backend, one proxy, the last proxy gone and the lease's edge are tested beside them and held before.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -534,6 +534,7 @@
             double busy = judged.stream().mapToDouble(s -> s.lastBusy).average().orElse(0);
             double raise = busy > 0 ? Math.max(PAST_FULL, Math.min(FAST_RAISE, FULL / busy)) : RAISE;
             total *= Math.pow(total < known ? FAST_RAISE : raise, seconds);
+            total = Math.max(total, HEADROOM * served); // else a total of zero would stay
             double ahead = busy > 0 ? Math.max(AHEAD, FULL / busy) : AHEAD;
             total = Double.isInfinite(total) ? total : Math.min(total, Math.max(ahead * served, known));
         } else if (roundsHeard > LEARN_ROUNDS) {
@@ -570,7 +571,7 @@
     /** Shares the part out, worthiest class first; a class's rest becomes one even level for all. */
     private void setLevels() {
         double demand = proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
-        if (total > LIFT * demand) { total = Double.POSITIVE_INFINITY; }
+        if (total >= LIFT * demand) { total = Double.POSITIVE_INFINITY; }
         double part = jammed ? DRAIN * total : total;
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
--- /dev/null
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -0,0 +1,140 @@
+package rowanmoor;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rowanmoor.TestSettings.MS;
+import static rowanmoor.TestSettings.SECOND;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Admit;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Members;
+import rowanmoor.ControlApi.ProxyJoined;
+import rowanmoor.ControlApi.ProxyLeft;
+import rowanmoor.ControlApi.SetLine;
+
+/** Totals, levels and the lease at the edges of their arithmetic. */
+class ArithmeticTest {
+
+    private static final long HOUR = 3600 * SECOND;
+
+    private final Stand stand = new Stand(TestSettings.plain());
+
+    /** Rounds in which four proxies ask 15 and 5 a second of the two classes. */
+    private void rounds(int count, int failedOf10, long latency) {
+        for (int i = 0; i < count; i++) {
+            for (int proxy = 0; proxy < 4; proxy++) {
+                stand.usage(proxy, 0, 15);
+                stand.usage(proxy, 1, 5);
+            }
+            stand.report(4, 2, b -> failedOf10, b -> latency);
+        }
+    }
+
+    private void allFinite() {
+        for (ControlApi.Action action : stand.all) {
+            double figure = action instanceof Admit a ? a.level() : action instanceof SetLine l ? l.weight() : 0;
+            assertTrue(Double.isFinite(figure) && figure >= 0, action.toString());
+        }
+    }
+
+    @Test
+    void aTotalOfZeroIsLeftAgainOnceSomethingIsServed() {
+        stand.start(4, 4);
+        rounds(8, 10, 0);
+        assertTrue(stand.level(0, 0) < 1000, "nothing is served: levels are set");
+        rounds(60, 0, 100 * MS);
+        assertTrue(stand.level(0, 0) > 1000, "level after a calm minute: " + stand.level(0, 0));
+    }
+
+    @Test
+    void theLiftOfALevelNeedsNoDemand() {
+        stand.start(4, 4);
+        rounds(8, 10, 0);
+        for (int i = 0; i < 40; i++) {
+            stand.report(4, 2, b -> 0, b -> 100 * MS); // nobody asks
+        }
+        stand.usage(0, 0, 15);
+        stand.second();
+        assertTrue(stand.level(0, 0) > 1000, "level " + stand.level(0, 0));
+    }
+
+    @Test
+    void noProxyAndNoBackendAtAll() {
+        stand.start(0, 0);
+        for (int i = 0; i < 5; i++) {
+            stand.second();
+        }
+        stand.hear(new ProxyJoined(0, 0, 20, true));
+        stand.second();
+        stand.hear(new Members(ListKind.FULL, 2, List.of(Stand.member(0, 0, Listed.READY, 0))));
+        stand.second();
+        allFinite();
+        assertEquals(1, stand.share(0, 0, 0), 1e-9);
+    }
+
+    @Test
+    void theLastProxyLeavesUnderOverloadAndAnotherIsLetInWhole() {
+        stand.start(4, 4);
+        rounds(3, 0, 100 * MS);
+        rounds(8, 3, 700 * MS);
+        for (int proxy = 0; proxy < 4; proxy++) {
+            stand.hear(new ProxyLeft(proxy));
+        }
+        stand.now += HOUR;
+        stand.report(4, 2, b -> 0, b -> 100 * MS);
+        stand.hear(new ProxyJoined(9, 0, 20, true));
+        stand.usage(9, 0, 5);
+        stand.report(4, 2, b -> 0, b -> 100 * MS);
+        allFinite();
+        assertTrue(stand.level(9, 0) > 1000, "level " + stand.level(9, 0));
+    }
+
+    @Test
+    void oneProxyAloneGetsTheWholePart() {
+        stand.start(4, 1);
+        for (int i = 0; i < 12; i++) {
+            int failed = i < 5 ? 0 : 1;
+            stand.usage(0, 0, 60);
+            stand.usage(0, 1, 20);
+            stand.report(4, 2, b -> failed, b -> failed == 0 ? 100 * MS : 700 * MS);
+        }
+        allFinite();
+        assertTrue(stand.level(0, 0) > 6 && stand.level(0, 0) < 60, "level " + stand.level(0, 0));
+    }
+
+    @Test
+    void aProxyThatReturnsWithinTheLeaseIsCountedOnce() {
+        stand.start(4, 4);
+        rounds(3, 0, 100 * MS);
+        rounds(4, 1, 700 * MS);
+        double before = stand.level(0, 0);
+        stand.hear(new ProxyLeft(3));
+        stand.now += SECOND;
+        stand.hear(new ProxyJoined(3, 0, 20, false));
+        rounds(1, 1, 700 * MS);
+        assertEquals(before, stand.level(0, 0), 0.3 * before, "its zone is another, its part the same");
+    }
+
+    @Test
+    void theLeaseEndsAtItsEdgeAndNotBefore() {
+        double[] levels = new double[2];
+        for (int late = 0; late < 2; late++) {
+            Stand its = new Stand(TestSettings.plain()).start(4, 4);
+            for (int i = 0; i < 22; i++) {
+                boolean calm = i < 5;
+                for (int proxy = 0; proxy < (i < 12 ? 4 : 3); proxy++) {
+                    its.usage(proxy, 0, 20);
+                }
+                if (i == 12) { // ten rounds follow: the last is 10 s after the leave, or 0.1 s more
+                    its.logic.on(its.now - late * 100 * MS, new ProxyLeft(3));
+                }
+                its.report(4, 2, b -> calm ? 0 : 3, b -> calm ? 100 * MS : 700 * MS);
+            }
+            levels[late] = its.level(0, 0);
+        }
+        assertEquals(4.0 / 3, levels[1] / levels[0], 0.05, levels[0] + " and " + levels[1]);
+    }
+}
