A long silence is neither an hour of calm nor an hour over which a report is spread

Seen: after hours without a report the total grew by 1.6 to the power of all those seconds: to infinity, so that one calm report lifted every level; and a total of 0 became 0 times infinity, no number, by which overload was never met with a level again. And one report of a second was divided by the hour before it: a total of next to nothing, levels at the floor. Ruled out: that a level that is no number reaches a proxy as a rate (evenLevel answers open); as a share it would have, and the channel's reader refuses it, ending the stream. Lines at fault: learn's seconds, setTotal's power. Tests: hoursOfSilenceAfterATotalOfZeroGiveNoLevelThatIsNoNumber, oneCalmReportAfterHoursOfSilenceCountsAsOneCalmRound and aReportAfterALongSilenceIsARateOverItsOwnSpan fail without it.

--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -24,6 +24,7 @@
         double newTries;
         double newFailed;
         double newLatencySum;
+        double newSpan; // seconds
         double lastFailing;
         double lastLatency;
         long restUntil;
@@ -38,6 +39,7 @@
 
         void hear(Tally tally) {
             newTries += tally.tries();
+            newSpan += tally.span() / 1e9;
             newFailed += tally.failed();
             newLatencySum += (double) tally.latency() * (tally.tries() - tally.failed());
         }
@@ -55,6 +57,7 @@
             newTries = 0;
             newFailed = 0;
             newLatencySum = 0;
+            newSpan = 0;
         }
     }
 
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -238,7 +238,11 @@
         if (!reportsCame) { return; }
         reportsCame = false;
         roundsHeard++;
-        double seconds = (learnedAt == 0 ? roundLength : now - learnedAt) / SECOND;
+        // After a silence, reports cover their own span, not the silence.
+        double told = backends.values().stream().flatMap(s -> Arrays.stream(s.paths))
+                .mapToDouble(p -> p.newSpan).max().orElse(0);
+        double gap = (learnedAt == 0 ? roundLength : now - learnedAt) / SECOND;
+        double seconds = Math.min(gap, Math.max(roundLength / SECOND, told));
         learnedAt = now;
         for (BackendState state : backends.values()) {
             state.all.learn(SMOOTH, ENOUGH);
@@ -533,7 +537,8 @@
             overloadedRounds = 0;
             double busy = judged.stream().mapToDouble(s -> s.lastBusy).average().orElse(0);
             double raise = busy > 0 ? Math.max(PAST_FULL, Math.min(FAST_RAISE, FULL / busy)) : RAISE;
-            total *= Math.pow(total < known ? FAST_RAISE : raise, seconds);
+            double calm = Math.min(seconds, PATIENCE * roundLength / SECOND); // a silence is no long calm
+            total *= Math.pow(total < known ? FAST_RAISE : raise, calm);
             total = Math.max(total, HEADROOM * served); // else a total of zero would stay
             double ahead = busy > 0 ? Math.max(AHEAD, FULL / busy) : AHEAD;
             total = Double.isInfinite(total) ? total : Math.min(total, Math.max(ahead * served, known));
--- a/src/test/java/rowanmoor/ArithmeticTest.java
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -49,6 +49,46 @@
         assertTrue(stand.level(0, 0) > 1000, "level after a calm minute: " + stand.level(0, 0));
     }
 
+    @Test
+    void hoursOfSilenceAfterATotalOfZeroGiveNoLevelThatIsNoNumber() {
+        stand.start(4, 4);
+        rounds(8, 10, 0);
+        stand.now += 3 * HOUR;
+        rounds(4, 0, 100 * MS);
+        allFinite();
+        rounds(60, 6, 100 * MS);
+        assertTrue(stand.level(0, 0) < 1000, "overload is still met with levels");
+    }
+
+    @Test
+    void oneCalmReportAfterHoursOfSilenceCountsAsOneCalmRound() {
+        double[] levels = new double[2];
+        for (int silent = 0; silent < 2; silent++) {
+            Stand its = new Stand(TestSettings.plain()).start(4, 4);
+            for (int i = 0; i < 18; i++) {
+                for (int proxy = 0; proxy < 4; proxy++) {
+                    its.usage(proxy, 0, 15);
+                    its.usage(proxy, 1, 5);
+                }
+                boolean calm = i < 5 || i == 17;
+                its.now += i == 17 ? silent * HOUR : 0;
+                its.report(4, 2, b -> calm ? 0 : 5, b -> calm ? 100 * MS : 700 * MS);
+            }
+            levels[silent] = its.level(0, 0);
+        }
+        assertEquals(levels[0], levels[1], 1e-6, "the silence itself proves nothing");
+        assertTrue(levels[1] < 1000, "level " + levels[1]);
+    }
+
+    @Test
+    void aReportAfterALongSilenceIsARateOverItsOwnSpan() {
+        stand.start(4, 4);
+        rounds(2, 1, 700 * MS);
+        stand.now += HOUR;
+        rounds(1, 1, 700 * MS);
+        assertTrue(stand.level(0, 0) > 5, "80 a second are served, not 80 an hour: " + stand.level(0, 0));
+    }
+
     @Test
     void theLiftOfALevelNeedsNoDemand() {
         stand.start(4, 4);
