Few tries that fail are no calm

Seen: with levels at the floor, backends get too few tries to be judged; with none judged, 0 of 0 overloaded counted as calm: "overload ends" was logged and the total raised while every try still failed. Ruled out: that holding back could lock levels in: once what little is tried succeeds, it is calm as before. Lines at fault: setTotal's first condition. Tests: fewFailingTriesAreNoCalm fails without it.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -532,7 +532,9 @@
         long over = judged.stream().filter(this::isOverloaded).count();
         jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
         boolean was = overloadedRounds > 0;
-        if (over * 2 <= judged.size()) {
+        double tries = backends.values().stream().mapToDouble(s -> s.all.tries).sum();
+        boolean blind = judged.isEmpty() && tries - good > JAM_FAILED * tries; // too few tries, and they fail
+        if (!blind && over * 2 <= judged.size()) {
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
             double busy = judged.stream().mapToDouble(s -> s.lastBusy).average().orElse(0);
@@ -542,7 +544,7 @@
             total = Math.max(total, HEADROOM * served); // else a total of zero would stay
             double ahead = busy > 0 ? Math.max(AHEAD, FULL / busy) : AHEAD;
             total = Double.isInfinite(total) ? total : Math.min(total, Math.max(ahead * served, known));
-        } else if (roundsHeard > LEARN_ROUNDS) {
+        } else if (!blind && roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (!was) {
                 total = Math.min(total, Math.max(served * (jammed ? HEADROOM : 1), PROVEN_PART * known));
--- a/src/test/java/rowanmoor/ArithmeticTest.java
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -101,6 +101,26 @@
         assertTrue(stand.level(0, 0) > 1000, "level " + stand.level(0, 0));
     }
 
+    @Test
+    void fewFailingTriesAreNoCalm() {
+        stand.start(4, 4);
+        rounds(8, 10, 0);
+        double before = stand.level(0, 0);
+        for (int i = 0; i < 10; i++) {
+            for (int proxy = 0; proxy < 4; proxy++) {
+                stand.usage(proxy, 0, 15);
+                stand.usage(proxy, 1, 5);
+            }
+            for (int b = 0; b < 4; b++) {
+                stand.logic.on(stand.now, new ControlApi.Tally(Stand.backend(b), 0, 1, 1, 0, SECOND, List.of()));
+            }
+            stand.second();
+        }
+        assertTrue(stand.all.stream().noneMatch(a -> a instanceof ControlApi.Log l
+                && l.text().startsWith("overload ends")), "no calm was seen");
+        assertTrue(stand.level(0, 0) < before + 1, "from " + before + " to " + stand.level(0, 0));
+    }
+
     @Test
     void noProxyAndNoBackendAtAll() {
         stand.start(0, 0);
