Machines gone for good leave tables and memory after two minutes

Seen: a backend that the list dropped kept its line in every table, withdrawn, for good: 604 lines after 600 replaced machines, four at a time. Lines at fault: heed, sendLines' putIfAbsent by membership, Pool.remove's count of holders, which kept zeroes. Change: what has been gone for 120 s loses its lines, as ordinary changes; once no table has it, it is forgotten. Not while a proxy waits to be bound: its old tables may still name it. Tests: machinesReplacedForGoodLeaveTheTables fails without it: 604 lines before, under 150 after.

--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -153,7 +153,7 @@
 
         void remove(Backend backend) {
             if (members.remove(backend)) {
-                holders.merge(backend, -1, Integer::sum);
+                holders.computeIfPresent(backend, (b, n) -> n == 1 ? null : n - 1);
             }
         }
 
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -21,6 +21,7 @@
     private static final double FAILED_AS = 1e9, JAM_FAILED_AS = 3e9;
     private static final double OUTLIER = 1.9; // times slower than the median: lighter than hand-overs allow
     private static final long REST = 4_000_000_000L; // how long a path rests, ns
+    private static final long FORGET = 120_000_000_000L; // how long what is gone keeps its lines, ns
     private static final double TRIAL = 0.1, TRIAL_GROWTH = 2; // part of its weight on trial; growth a round
     // Hand-overs: the part of a load gap closed in a round, the gap taken for noise, the design's bounds.
     private static final double HAND_OVER = 0.1, NOISE = 0.1;
@@ -72,6 +73,7 @@
         Path all = new Path();
         double correction = 1, busy, lastBusy, quiet;
         boolean withdrawn, held;
+        long listedAt; // when the list last changed it
 
         boolean ready() { return member.listed() == Listed.READY; }
 
@@ -175,14 +177,18 @@
         TreeMap<Backend, BackendState> unmentioned = new TreeMap<>(backends);
         for (Member member : list.entries()) {
             unmentioned.remove(member.backend());
-            heed(backends.computeIfAbsent(member.backend(), b -> new BackendState()), member);
+            BackendState state = backends.computeIfAbsent(member.backend(), b -> new BackendState());
+            heed(now, state, member);
         }
-        if (list.kind() != ListKind.DELTA) { unmentioned.values().forEach(s -> heed(s, s.member.gone())); }
+        if (list.kind() != ListKind.DELTA) { unmentioned.values().forEach(s ->
+                heed(now, s, s.member.gone())); }
     }
 
-    private void heed(BackendState state, Member member) {
+    private void heed(long now, BackendState state, Member member) {
         if (state.member != null && member.startedAt() > state.member.startedAt()) { state.forget(); }
-        urgent |= state.member == null || !state.member.equals(member);
+        boolean changed = state.member == null || !state.member.equals(member);
+        state.listedAt = changed ? now : state.listedAt;
+        urgent |= changed;
         state.member = member;
     }
 
@@ -640,7 +646,10 @@
         if (urgent) {
             actions.add(new TimerAt(Math.max(nextMessage, now + WAIT), 2));
         }
-        if (round) { pools.values().forEach(this::evenOut); }
+        if (round) {
+            pools.values().forEach(this::evenOut);
+            forgetGone(now);
+        }
         bind(now);
         int mark = sent.closeReply();
         if (mark >= 0) {
@@ -707,6 +716,24 @@
         }
     }
 
+    // Machines are replaced for years: one long gone loses its lines first, then it is let go. Not while a
+    // proxy waits to be bound, whose old tables may name it.
+    private void forgetGone(long now) {
+        for (BackendState state : List.copyOf(backends.values())) {
+            Backend backend = state.member.backend();
+            boolean old = state.member.listed() == Listed.GONE && now - state.listedAt > FORGET;
+            if (old && joining.isEmpty()) {
+                List<Pool> all = pools.values().stream().flatMap(List::stream).toList();
+                all.forEach(p -> p.remove(backend));
+                if (all.stream().noneMatch(p -> p.sent.containsKey(backend))) {
+                    backends.remove(backend);
+                    order(new Withdraw(backend, false), proxies.values().stream()
+                            .filter(p -> p.joined).toList());
+                }
+            }
+        }
+    }
+
     // Pools whose lines are furthest off come first; ordinary changes keep to their allowance of the channel.
     private void sendLines(Map<Pool, TreeMap<Backend, Double>> laid, boolean round) {
         double most = fill(round || !joined && !joining.isEmpty() ? ORDINARY_BACKLOG : URGENT_BACKLOG);
--- /dev/null
+++ b/src/test/java/rowanmoor/GrowthTest.java
@@ -0,0 +1,28 @@
+package rowanmoor;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rowanmoor.TestSettings.SECOND;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Members;
+
+/** What must not grow with time: tables, marks, timers, table numbers. */
+class GrowthTest {
+
+    @Test
+    void machinesReplacedForGoodLeaveTheTables() {
+        Stand stand = new Stand(TestSettings.plain()).start(4, 2);
+        for (int i = 4; i < 604; i++) {
+            stand.now += 4 * SECOND;
+            stand.hear(new Members(ListKind.DELTA, i, List.of(Stand.member(i - 4, i % 2, Listed.GONE, 0),
+                    Stand.member(i, i % 2, Listed.READY, 0))));
+            stand.second();
+        }
+        long lines = stand.tables.get(stand.bound.get(0).get(0)).values().stream().filter(w -> w > 0).count();
+        assertTrue(lines >= 4 && lines < 150, lines + " lines after 600 machines, four at a time");
+        assertTrue(stand.share(0, 0, 602) > 0.1, "the newest are used");
+    }
+}
