Marks: one answered twice frees its part once, unanswered ones do not pile up, numbers wrap

Seen: a proxy that answers a mark again and again freed a message's lines each time: 50 answers to a reply of 30 lines left -705 waiting, and the module would have sent that much too much. A proxy that never answers left a mark a reply behind: 200,000 of them. After 2^31 replies the number went negative, was taken for "nothing was sent", and the spacing of messages ended. Ruled out: stale marks of a number used before (the driver passes on only the last 4,096 it set, of its own epoch). Lines at fault: Fleet.Sent.applied, closeReply. Change: answers count up to the messages of their reply; 4,096 marks are kept; the number is a floor modulus. Tests: three in GrowthTest, each failing without it.

--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -176,9 +176,11 @@
         final int number;
         final double linesBefore;
         final double linesEach;
+        final int messages;
         int answered;
 
-        SentMark(int number, double linesBefore, double linesEach) {
+        SentMark(int number, double linesBefore, double linesEach, int messages) {
+            this.messages = messages;
             this.number = number;
             this.linesBefore = linesBefore;
             this.linesEach = linesEach;
@@ -188,12 +190,13 @@
     /** Books what the channel was given and, by the marks answered, what has surely left it. */
     static final class Sent {
         private static final int MARKS = 65536;
+        private static final int MARKS_KEPT = 4096;
 
         private final ArrayDeque<SentMark> marks = new ArrayDeque<>();
         private double sent;
         private double left;
         private double reply;
-        private int replies = 1;
+        int replies = 1;
         private int messages;
 
         /** One more order of this reply, with lines of its own; the first for a proxy opens its message. */
@@ -209,14 +212,21 @@
             if (reply == 0) {
                 return -1;
             }
-            int number = replies++ % MARKS;
-            marks.add(new SentMark(number, sent, messages == 0 ? 0 : reply / messages));
+            int number = Math.floorMod(replies++, MARKS);
+            marks.add(new SentMark(number, sent, messages == 0 ? 0 : reply / messages, messages));
+            if (marks.size() > MARKS_KEPT) {
+                marks.poll(); // nobody answers; an answer to a later one counts for it
+            }
             sent += reply;
             reply = 0;
             messages = 0;
             return number;
         }
 
+        int marksKept() {
+            return marks.size();
+        }
+
         void drain(double lines) {
             left = Math.min(sent, left + lines);
         }
@@ -228,7 +238,8 @@
                     marks.poll();
                 }
                 SentMark first = marks.peek();
-                left = Math.max(left, first.linesBefore + first.linesEach * first.answered++);
+                left = Math.max(left, first.linesBefore + first.linesEach
+                        * Math.min(first.answered++, first.messages - 1)); // twice frees nothing
             }
         }
 
--- a/src/test/java/rowanmoor/GrowthTest.java
+++ b/src/test/java/rowanmoor/GrowthTest.java
@@ -1,5 +1,6 @@
 package rowanmoor;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rowanmoor.TestSettings.SECOND;
 
@@ -25,4 +26,42 @@
         assertTrue(lines >= 4 && lines < 150, lines + " lines after 600 machines, four at a time");
         assertTrue(stand.share(0, 0, 602) > 0.1, "the newest are used");
     }
+
+    @Test
+    void aMarkAnsweredTwiceFreesItsPartOnce() {
+        Fleet.Sent sent = new Fleet.Sent();
+        Fleet.ProxyState one = new Fleet.ProxyState(1, 0);
+        Fleet.ProxyState two = new Fleet.ProxyState(1, 0);
+        sent.book(one, 10, 5);
+        sent.book(two, 10, 5);
+        int mark = sent.closeReply();
+        for (int i = 0; i < 50; i++) {
+            sent.applied(mark);
+        }
+        assertTrue(sent.waiting() >= 0, "waiting " + sent.waiting());
+    }
+
+    @Test
+    void marksThatNobodyAnswersDoNotPileUp() {
+        Fleet.Sent sent = new Fleet.Sent();
+        Fleet.ProxyState one = new Fleet.ProxyState(1, 0);
+        for (int i = 0; i < 200_000; i++) {
+            sent.book(one, 1, 1);
+            sent.closeReply();
+        }
+        assertTrue(sent.marksKept() <= 4096, sent.marksKept() + " marks");
+    }
+
+    @Test
+    void markNumbersStayInRangeWhenTheCountOfRepliesWraps() {
+        Fleet.Sent sent = new Fleet.Sent();
+        sent.replies = Integer.MAX_VALUE - 2;
+        Fleet.ProxyState one = new Fleet.ProxyState(1, 0);
+        for (int i = 0; i < 6; i++) {
+            sent.book(one, 1, 1);
+            int mark = sent.closeReply();
+            assertTrue(mark >= 0 && mark < 65536, "mark " + mark);
+            assertEquals(-1, sent.closeReply(), "nothing more was sent");
+        }
+    }
 }
