One timer for one wait

Seen: while an urgent change, a bind or a question waited, each decision set its timer anew: 80 list changes at 5 ms set 80 timers for one wait of half a second, and each of them woke the module to lay all tables again. Ruled out: that a timer is lost by it: an earlier due time replaces, a due one is gone. Lines at fault: send, bind, askForList. Change: a kind of timer is set again only if none is due before. Tests: oneTimerIsEnoughWhileOrdersWaitForTheirBudget: 80 before, at most 2 after.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -109,6 +109,7 @@
     private final List<Action> actions = new ArrayList<>();
     private final LinkedHashSet<Integer> joining = new LinkedHashSet<>(); // to be bound, in order
     private final double[] levels;
+    private final long[] wakes = new long[4]; // when each kind of timer is due
     private boolean reportsCame, urgent, joined, watching, jammed;
     private long nextRound, learnedAt, askAt, nextMessage, drainedAt;
     private int roundsHeard, askFailures, overloadedRounds;
@@ -195,7 +196,7 @@
     private void askForList(long now) {
         if (settings.mustAsk() && !watching) {
             watching = now >= askAt;
-            actions.add(watching ? new Watch(true) : new TimerAt(askAt, 1));
+            if (watching) { actions.add(new Watch(true)); } else { wake(now, askAt, 1); }
         }
     }
 
@@ -644,7 +645,7 @@
             joined = false;
         }
         if (urgent) {
-            actions.add(new TimerAt(Math.max(nextMessage, now + WAIT), 2));
+            wake(now, Math.max(nextMessage, now + WAIT), 2);
         }
         if (round) {
             pools.values().forEach(this::evenOut);
@@ -675,7 +676,7 @@
             double over = sent.waiting() + lines + settings.channel().head() + 1 - most;
             if (sent.waiting() > 0 && over > 0) {
                 double wait = SECOND * over / settings.channel().linesPerSecond();
-                actions.add(new TimerAt(now + Math.max(WAIT, (long) wait), 3));
+                wake(now, now + Math.max(WAIT, (long) wait), 3);
                 return;
             }
             for (Pool pool : proxy.pools) {
@@ -688,6 +689,14 @@
         }
     }
 
+    /** Sets a timer of a kind, unless one is due before: events come by the hundred meanwhile. */
+    private void wake(long now, long time, int token) {
+        if (wakes[token] <= now || time < wakes[token]) {
+            wakes[token] = time;
+            actions.add(new TimerAt(time, token));
+        }
+    }
+
     private void order(Action action, Collection<ProxyState> users) {
         actions.add(action);
         users.forEach(proxy -> sent.book(proxy, 1, settings.channel().head() + 1));
--- a/src/test/java/rowanmoor/GrowthTest.java
+++ b/src/test/java/rowanmoor/GrowthTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rowanmoor.TestSettings.MS;
 import static rowanmoor.TestSettings.SECOND;
 
 import java.util.List;
@@ -9,6 +10,7 @@
 import rowanmoor.ControlApi.ListKind;
 import rowanmoor.ControlApi.Listed;
 import rowanmoor.ControlApi.Members;
+import rowanmoor.ControlApi.TimerAt;
 
 /** What must not grow with time: tables, marks, timers, table numbers. */
 class GrowthTest {
@@ -64,4 +66,18 @@
             assertEquals(-1, sent.closeReply(), "nothing more was sent");
         }
     }
+
+    @Test
+    void oneTimerIsEnoughWhileOrdersWaitForTheirBudget() {
+        Stand limited = new Stand(TestSettings.with(TestSettings.plain().classes(), false, 20, 0)).start(8, 4);
+        limited.now += 600 * MS;
+        limited.hear(new Members(ListKind.DELTA, 2, List.of(Stand.member(0, 0, Listed.GONE, 0))));
+        int timers = 0;
+        for (int i = 0; i < 80; i++) {
+            limited.now += 5 * MS;
+            limited.hear(new Members(ListKind.DELTA, 3 + i, List.of(Stand.member(1, 1, Listed.GONE, i))));
+            timers += limited.last.stream().filter(a -> a instanceof TimerAt t && t.token() == 2).count();
+        }
+        assertTrue(timers >= 1 && timers <= 2, timers + " timers for one wait");
+    }
 }
