Table numbers of many zones and groups stay within 16 bits

Seen: sets of pools are numbered 512 apart; a site may have 64 zones and 16 classes, and past 127 sets a number needs 17 bits: on the channel it is cut off, and proxies of one zone would be bound to another zone's table. With more than 512 pools in a set the numbers ran into the next set's. Lines at fault: pools, deal. Change: a set has as many numbers as 65,535 leaves to each, and no more pools than numbers. Tests: tableNumbersOfManyZonesAndGroupsDoNotCollide: table 491,520 before.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -29,7 +29,6 @@
     private static final double ZONE_TABLE_PRICE = 0.02; // crossing price from which zones have own tables
     private static final int POOL_MOST = 25, POOL_LEAST = 6; // backends in a pool (design); to open one more
     private static final int PROXIES_A_TABLE = 5; // at the least (the design's)
-    private static final int TABLES_MOST = 512; // spacing of table numbers: pools of one region and group
     private static final double DEALT = 25; // percent of the mean flow, from which a backend has a pool
     private static final double SHORT = 0.8, UNEVEN = 0.33; // part of demand for a refill; gap for a move
     private static final int WAY_OUT = 2; // backends of other zones in every pool
@@ -346,9 +345,12 @@
                 / pool.demand;
     }
 
+    /** How many table numbers a set of pools has: they are 16 bits for all regions and groups together. */
+    private int tablesOfSet() { return ControlApi.ALL_TABLES / (groups.size() * regions); }
+
     private List<Pool> pools(int group, int region) {
         return pools.computeIfAbsent(group * regions + region, k -> new ArrayList<>(List.of(
-                new Pool(k * TABLES_MOST, group))));
+                new Pool(k * tablesOfSet(), group))));
     }
 
     // What joined proxies ask of a group, by region, in work as far as aims tell of it. A region with none is
@@ -429,8 +431,8 @@
     // region uses is in one, a pool too short of what is used is refilled at once, and each has a way out of
     // its zone. Members stay as long as they can: moving a line closes connections.
     private void deal(int region, Map<Backend, Double> flows, List<Pool> set) {
-        int most = settings.proxies() / Math.max(1, settings.instances())
-                / (PROXIES_A_TABLE * regions * groups.size());
+        int most = Math.min(tablesOfSet(), settings.proxies() / Math.max(1, settings.instances())
+                / (PROXIES_A_TABLE * regions * groups.size()));
         Predicate<Backend> away = b -> region(backends.get(b).member.zone()) != region;
         long own = flows.keySet().stream().filter(away.negate()).count();
         while (flows.size() > POOL_MOST && set.size() < Math.min(most, own / POOL_LEAST)) {
--- a/src/test/java/rowanmoor/GrowthTest.java
+++ b/src/test/java/rowanmoor/GrowthTest.java
@@ -5,11 +5,21 @@
 import static rowanmoor.TestSettings.MS;
 import static rowanmoor.TestSettings.SECOND;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Bind;
+import rowanmoor.ControlApi.Effect;
 import rowanmoor.ControlApi.ListKind;
 import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Member;
 import rowanmoor.ControlApi.Members;
+import rowanmoor.ControlApi.ProxyJoined;
+import rowanmoor.ControlApi.SetLine;
+import rowanmoor.ControlApi.Settings;
 import rowanmoor.ControlApi.TimerAt;
 
 /** What must not grow with time: tables, marks, timers, table numbers. */
@@ -80,4 +90,35 @@
         }
         assertTrue(timers >= 1 && timers <= 2, timers + " timers for one wait");
     }
+
+    @Test
+    void tableNumbersOfManyZonesAndGroupsDoNotCollide() {
+        int zones = 64;
+        List<ControlApi.ClassSpec> classes = new ArrayList<>();
+        for (int c = 0; c < 16; c++) {
+            classes.add(TestSettings.spec(Effect.SAFE, 1, c == 0 ? Set.of() : Set.of(c, c + 16)));
+        }
+        Settings s = TestSettings.plain();
+        Stand stand = new Stand(new Settings(1, zones, classes, false, false, s.admission(), 0, 100, 0, SECOND, 500,
+                0.05, s.columns(), s.rules(), new ControlApi.Channel(1e6, 5, 1e6, 0, SECOND, 0, 0)));
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < 2 * zones; i++) {
+            members.add(new Member(Stand.backend(i), i % zones, 0, 0, Listed.READY, 1, 0));
+        }
+        stand.hear(new Members(ListKind.FULL, 1, members));
+        for (int p = 0; p < zones; p++) {
+            stand.hear(new ProxyJoined(p, p, 20, true));
+        }
+        Map<Integer, String> owners = new HashMap<>();
+        for (ControlApi.Action action : stand.all) {
+            if (action instanceof Bind bind) {
+                assertTrue(bind.table() >= 0 && bind.table() < ControlApi.ALL_TABLES, action.toString());
+                String owner = bind.proxy() + "/" + bind.classes();
+                assertEquals(owner, owners.computeIfAbsent(bind.table(), t -> owner), "table " + bind.table());
+            } else if (action instanceof SetLine line) {
+                assertTrue(line.table() >= 0 && line.table() < ControlApi.ALL_TABLES, action.toString());
+            }
+        }
+        assertEquals(16 * zones, owners.size());
+    }
 }
