A proxy that leaves twice has one lease; what is told late of it is not counted when it returns

Seen: a second leave of a departed proxy began its lease anew. A report that came after its proxy had left stayed summed up, and when the proxy returned was counted on top of what it then met, and as a sign that it had been heard. Ruled out: a return within the lease, in another zone or the same (it is one state, counted once: tested). Lines at fault: Fleet.ProxyState.leave, join. Change: only a joined proxy can leave; joining clears sums not yet learned from. Tests: aProxyThatLeavesTwiceCountsForOneLease, aReportThatComesAfterItsProxyLeftIsNotCountedWhenItReturns.

--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -86,6 +86,8 @@
         void join(int itsZone) {
             zone = itsZone;
             joined = true;
+            Arrays.fill(newUsage, 0); // what was told late of its time before
+            Arrays.fill(newSpan, 0);
             heard = false;
             bound = false;
         }
@@ -96,8 +98,8 @@
         }
 
         void leave(int number, long now) {
+            leftAt = joined ? now : leftAt;
             joined = false;
-            leftAt = now;
             for (Pool pool : pools) {
                 pool.users.remove(number);
             }
--- a/src/test/java/rowanmoor/ArithmeticTest.java
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -1,6 +1,7 @@
 package rowanmoor;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rowanmoor.TestSettings.MS;
 import static rowanmoor.TestSettings.SECOND;
@@ -165,6 +166,28 @@
         assertTrue(stand.level(0, 0) > 6 && stand.level(0, 0) < 60, "level " + stand.level(0, 0));
     }
 
+    @Test
+    void aProxyThatLeavesTwiceCountsForOneLease() {
+        Fleet.ProxyState proxy = new Fleet.ProxyState(2, 0);
+        proxy.join(0);
+        proxy.leave(1, 5 * SECOND);
+        proxy.leave(1, 12 * SECOND);
+        assertEquals(5 * SECOND, proxy.leftAt);
+    }
+
+    @Test
+    void aReportThatComesAfterItsProxyLeftIsNotCountedWhenItReturns() {
+        Fleet.ProxyState proxy = new Fleet.ProxyState(2, 0);
+        proxy.join(0);
+        proxy.hear(new ControlApi.Usage(1, 0, 10, 0, SECOND));
+        proxy.leave(1, SECOND);
+        proxy.hear(new ControlApi.Usage(1, 0, 10, 0, SECOND));
+        proxy.join(1);
+        assertEquals(0, proxy.newUsage[0]);
+        assertEquals(0, proxy.newSpan[0]);
+        assertFalse(proxy.heard);
+    }
+
     @Test
     void aProxyThatReturnsWithinTheLeaseIsCountedOnce() {
         stand.start(4, 4);
