Backends whose weights are all zero are used alike

Seen: with every listed weight 0 no line was laid: proxies were bound to an empty table beside ready backends. Ruled out: the running controller's roster, which reads a weight of 0 as an entry that is not whole; the module's own interface and the bench's wire allow it. Lines at fault: BackendState.capacity. Change: no weight counts as less than 1e-9 of the usual one: next to nothing beside others, all alike alone. Tests: backendsWhoseWeightsAreAllZeroAreUsedAlike fails without it.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -35,6 +35,7 @@
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
     // Warmth below which a backend stays out, if enough are warm; and in overload or where proxies shun.
     private static final double HOLD = 0.35, HOLD_IN_OVERLOAD = 0.6;
+    private static final double LEAST_WEIGHT = 1e-9; // for those of no weight, where there are no others
     private static final double COLD_MOST = 3; // times its part of demand, that a cold backend has in a table
     private static final double WORTH_SENDING = 0.1, LEVEL_WORTH_SENDING = 0.03; // relative changes sent
     // Levels: the design's figures, but for the proven rate's.
@@ -88,7 +89,8 @@
 
         /** What it can do. A cold one is slow with each request and short of room: hence the square. */
         double capacity(long now) {
-            return ready() && !held ? member.weight() * correction * warmth(now) * warmth(now) : 0;
+            double weight = Math.max(LEAST_WEIGHT, member.weight());
+            return ready() && !held ? weight * correction * warmth(now) * warmth(now) : 0;
         }
 
         /** How loaded it is, on whatever scale the site reports; 0 if unknown. */
--- a/src/test/java/rowanmoor/ArithmeticTest.java
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -6,11 +6,13 @@
 import static rowanmoor.TestSettings.MS;
 import static rowanmoor.TestSettings.SECOND;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import rowanmoor.ControlApi.Admit;
 import rowanmoor.ControlApi.ListKind;
 import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Member;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.ProxyJoined;
 import rowanmoor.ControlApi.ProxyLeft;
@@ -166,6 +168,20 @@
         assertTrue(stand.level(0, 0) > 6 && stand.level(0, 0) < 60, "level " + stand.level(0, 0));
     }
 
+    @Test
+    void backendsWhoseWeightsAreAllZeroAreUsedAlike() {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            members.add(new Member(Stand.backend(i), i % 2, 0, 0, Listed.READY, 0, 0));
+        }
+        stand.hear(new Members(ListKind.FULL, 1, members));
+        stand.hear(new ProxyJoined(0, 0, 20, true));
+        stand.second();
+        allFinite();
+        assertEquals(1, stand.share(0, 0, 0) + stand.share(0, 0, 1) + stand.share(0, 0, 2) + stand.share(0, 0, 3),
+                1e-6);
+    }
+
     @Test
     void aProxyThatLeavesTwiceCountsForOneLease() {
         Fleet.ProxyState proxy = new Fleet.ProxyState(2, 0);
