A trace on a full or stalled disk ends; deciding and sending go on

Seen: with the trace on a full disk the write threw within the tick, before messages left and before the next tick was set: no update left the controller any more, and its figures were not logged again. A disk that stalls stood the loop still. Ruled out: the capture, which has a thread and a bounded queue; the loop itself, which goes on after a timer throws. Lines at fault: Trace.write and flush, Controller.tickNow. Change: lines are written by a thread of their own (LineFile). The first that cannot be written, or that does not fit into 32 Mi characters waiting, ends the trace for good: a gap could not be replayed. It is told once. A tick sets the next one whatever it throws.

--- a/src/main/java/rowanmoor/controller/Controller.java
+++ b/src/main/java/rowanmoor/controller/Controller.java
@@ -63,7 +63,8 @@
         this.config = config;
         this.loop = loop;
         Settings settings = config.site().settings(config.instances());
-        this.trace = config.trace() == null ? null : new Trace(config.trace(), settings, seed);
+        this.trace = config.trace() == null ? null : new Trace(config.trace(), settings, seed,
+                why -> LOG.error("trace ended {}", kv("why", why)));
         this.capture = config.capture() == null ? null : new CaptureWriter(config.capture(),
                 new LoadRecord.Start(loop.now(), wall.getAsLong(), config.rank(), epoch,
                         config.site().zones(),
@@ -254,17 +255,17 @@
     private void tickNow() {
         tickAt = Long.MAX_VALUE;
         lastTick = loop.now();
-        driver.tick(lastTick);
-        long next = driver.nextAt();
-        if (next != Long.MAX_VALUE) {
-            tickBy(Math.max(next, lastTick + config.tick()));
+        try {
+            driver.tick(lastTick);
+        } finally { // whatever a tick throws, the next one is due: messages wait for it
+            long next = driver.nextAt();
+            if (next != Long.MAX_VALUE) {
+                tickBy(Math.max(next, lastTick + config.tick()));
+            }
         }
     }
 
     private void stats() {
-        if (trace != null) {
-            trace.flush();
-        }
         Runtime runtime = Runtime.getRuntime();
         LOG.info("stats {} {} {} {} {} {} {} {} {} {} {} {}", kv("joined", driver.joinedCount()),
                 kv("waiting", Math.round(driver.waitingLines())),
--- a/src/main/java/rowanmoor/controller/Trace.java
+++ b/src/main/java/rowanmoor/controller/Trace.java
@@ -6,13 +6,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.BufferedReader;
-import java.io.BufferedWriter;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.Consumer;
 import rowanmoor.ControlApi.Action;
 import rowanmoor.ControlApi.Event;
 import rowanmoor.ControlApi.Settings;
@@ -20,7 +20,8 @@
 
 /**
  * What a module was told and what it ordered, tick by tick, as JSON lines: enough to feed another instance
- * the same and compare. The first line has the settings and the seed.
+ * the same and compare. The first line has the settings and the seed. It is written beside the loop
+ * ({@link LineFile}): a disk that stalls or is full ends the trace, and nothing else.
  */
 public final class Trace implements Closeable {
 
@@ -28,7 +29,8 @@
     private interface Named { }
 
     private static final ObjectMapper JSON = mapper();
-    private final BufferedWriter out;
+    private static final long CHARS_MOST = 1 << 25;
+    private final LineFile out;
 
     private static ObjectMapper mapper() {
         ObjectMapper mapper = new ObjectMapper();
@@ -43,8 +45,9 @@
         return mapper;
     }
 
-    Trace(Path file, Settings settings, long seed) throws IOException {
-        out = Files.newBufferedWriter(file);
+    /** @param lost hears once, on any thread, why the trace has ended before its time */
+    Trace(Path file, Settings settings, long seed, Consumer<String> lost) throws IOException {
+        out = new LineFile(Files.newBufferedWriter(file), CHARS_MOST, lost);
         ObjectNode head = JSON.createObjectNode();
         head.put("seed", seed);
         head.set("settings", JSON.valueToTree(settings));
@@ -52,15 +55,14 @@
     }
 
     void write(long now, List<Event> events, List<Action> actions) {
+        if (!out.open()) {
+            return;
+        }
         ObjectNode tick = JSON.createObjectNode();
         tick.put("at", now);
         tick.set("events", tree(events, new TypeReference<List<Event>>() { }));
         tick.set("actions", tree(actions, new TypeReference<List<Action>>() { }));
-        try {
-            line(tick);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        line(tick);
     }
 
     private static <T> JsonNode tree(List<T> items, TypeReference<List<T>> type) {
@@ -71,22 +73,16 @@
         }
     }
 
-    private void line(JsonNode node) throws IOException {
-        out.write(JSON.writeValueAsString(node));
-        out.write('\n');
-    }
-
-    /** Pushes what is buffered out to the file. */
-    void flush() {
+    private void line(JsonNode node) {
         try {
-            out.flush();
+            out.offer(JSON.writeValueAsString(node));
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new UncheckedIOException(e); // what was decided is always JSON
         }
     }
 
     @Override
-    public void close() throws IOException {
+    public void close() {
         out.close();
     }
 
--- a/src/test/java/rowanmoor/controller/ControllerTest.java
+++ b/src/test/java/rowanmoor/controller/ControllerTest.java
@@ -52,10 +52,14 @@
     }
 
     private Controller make() throws Exception {
+        return make(null);
+    }
+
+    private Controller make(Path trace) throws Exception {
         ControllerConfig c = ControllerConfig.read(Path.of("conf/controller.kdl"));
         return new Controller(new ControllerConfig(c.site(), 0, 1, 0, ANY, c.tick(), c.helloWithin(),
                 c.silentAfter(), 250, 4096, roster.address(), c.service(), c.rosterWait(),
-                c.emptyHold(), c.probePath(), c.probeWithin(), c.probesAtOnce(), null, null, c.statsEvery()), loop, 1,
+                c.emptyHold(), c.probePath(), c.probeWithin(), c.probesAtOnce(), trace, null, c.statsEvery()), loop, 1,
                 77, () -> net.now() / MS);
     }
 
@@ -76,6 +80,28 @@
         assertInOrder(peer);
     }
 
+    @Test
+    void aTraceOnAFullDiskEndsAndDecidingGoesOn() throws Exception {
+        Path full = Path.of("/dev/full"); // every write to it fails for want of space
+        org.junit.jupiter.api.Assumptions.assumeTrue(java.nio.file.Files.exists(full));
+        int[] updates = new int[2];
+        for (int run = 0; run < 2; run++) {
+            start(); // another roster and controller, as at first
+            controller.stop();
+            controller = make(run == 0 ? null : full);
+            Peer peer = new Peer(hello(1, 1 + run));
+            for (int i = 0; i < 40; i++) {
+                roster.put(new RosterServer.Instance(backend(i % 6), "north", "fast", 4,
+                        i % 2 == 0 ? Listed.DRAINING : Listed.READY, 0, 0));
+                net.runFor(500 * MS);
+            }
+            updates[run] = peer.heard(Frame.Update.class).size();
+            controller.closeFiles();
+        }
+        assertEquals(List.of(), faults);
+        assertTrue(updates[0] > 2 && updates[1] == updates[0], updates[0] + " updates, and " + updates[1]);
+    }
+
     private static Backend backend(int i) {
         return new Backend((0x7f000001L << 16) + 9000 + i);
     }
--- a/src/test/java/rowanmoor/controller/DriverPartsTest.java
+++ b/src/test/java/rowanmoor/controller/DriverPartsTest.java
@@ -160,7 +160,7 @@
             throws IOException, ConfigError {
         Path file = dir.resolve("t.trace");
         Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1);
-        try (Trace trace = new Trace(file, settings, 3)) {
+        try (Trace trace = new Trace(file, settings, 3, why -> { })) {
             minute(3, trace);
         }
         Trace.Replay replay = Trace.replay(file);
