--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -56,7 +56,18 @@
     private Commands() { }
 
     static int run(String... args) {
-        return commandLine().execute(args);
+        try {
+            return commandLine().execute(args);
+        } finally {
+            endLog();
+        }
+    }
+
+    /** What is logged is written by a thread of its own: its last lines must not be lost. */
+    private static void endLog() {
+        if (org.slf4j.LoggerFactory.getILoggerFactory() instanceof ch.qos.logback.classic.LoggerContext log) {
+            log.stop();
+        }
     }
 
     static CommandLine commandLine() {
@@ -199,6 +210,7 @@
         }));
         loop.run();
         last.close();
+        endLog(); // the process ends as soon as its hooks have
         ended.countDown();
     }
 
