Roster view, driver and proxy let go of machines that are gone for good

Seen: each remembered every machine it ever met: 20,001 addresses in the roster's view after 20,000 replaced one by one, 2,001 of 2,000 in the driver, 40,001 records in a proxy's router; and the view went through all of them at each answer. Ruled out: the proxy's counts (emptied with each report) and its connections (closed once no table names a backend). Lines at fault: RosterView.changes, Driver.hearList, Router.withdrawn and paths. Change: the view forgets an address gone for ten minutes; the driver forgets it when the module does; a router with over 1,024 records keeps those that a table names or a try is out to. That a backend was ever listed is kept by itself. Tests: machinesReplacedForYearsAreNotRememberedForGood in three classes, each failing without the change. Figures: remembered after those replacements: under 300, under 100, under 1,100.

--- a/src/main/java/rowanmoor/controller/Driver.java
+++ b/src/main/java/rowanmoor/controller/Driver.java
@@ -17,9 +17,10 @@
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Bind;
 import rowanmoor.ControlApi.Event;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Listed;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Mark;
-import rowanmoor.ControlApi.Member;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.Probe;
 import rowanmoor.ControlApi.ProxyJoined;
@@ -100,7 +101,7 @@
     private final Intake intake;
     private final Outbox<Draft> outbox;
     private final TreeMap<Integer, Peer> peers = new TreeMap<>();
-    private final TreeSet<Backend> listed = new TreeSet<>();
+    private final TreeMap<Backend, Listed> listed = new TreeMap<>();
     private final ArrayDeque<Event> lists = new ArrayDeque<>();
     private final ArrayDeque<Event> streams = new ArrayDeque<>();
     private final ArrayDeque<Event> probes = new ArrayDeque<>();
@@ -109,6 +110,7 @@
     private long alarmNumber;
     private long unlisted;
     private boolean started;
+    private boolean everListed;
 
     /**
      * @param epoch names this start of this controller; never the same twice
@@ -129,7 +131,11 @@
     // ---- what is heard -------------------------------------------------------------------------------
 
     public void hearList(Members members) {
-        members.entries().stream().map(Member::backend).forEach(listed::add);
+        if (members.kind() == ListKind.FULL || members.kind() == ListKind.CACHED) {
+            listed.replaceAll((backend, was) -> Listed.GONE);
+        }
+        members.entries().forEach(m -> listed.put(m.backend(), m.listed()));
+        everListed |= !listed.isEmpty();
         lists.add(members);
     }
 
@@ -169,7 +175,7 @@
         if (peer == null) {
             return;
         }
-        List<Frame.Tally> known = report.tallies().stream().filter(t -> listed.contains(t.backend()))
+        List<Frame.Tally> known = report.tallies().stream().filter(t -> listed.containsKey(t.backend()))
                 .toList();
         List<Frame.Use> uses = report.uses().stream().filter(u -> u.cls() < settings.classes().size())
                 .toList();
@@ -242,7 +248,7 @@
      * empty table only, in place of what the proxy holds and can work by.
      */
     private boolean knowsBackends() {
-        return !listed.isEmpty();
+        return everListed;
     }
 
     /** When a tick is next due, if nothing more is heard. */
@@ -263,6 +269,9 @@
                 toUsers(messages, a.table(), new Frame.SetLine(a.table(), line));
             } else if (action instanceof Withdraw a) {
                 store.withdraw(a.backend(), a.out());
+                if (!a.out() && listed.get(a.backend()) == Listed.GONE) {
+                    listed.remove(a.backend()); // the module has let it go
+                }
                 peers.forEach((proxy, peer) -> {
                     if (peer.holds(store, a.backend())) {
                         add(messages, proxy, new Frame.Withdraw(a.backend(), a.out()));
@@ -381,6 +390,11 @@
         return intake.mostWaiting();
     }
 
+    /** Backends that reports are taken of: listed, or gone but not yet let go by the module. */
+    int backendsKnown() {
+        return listed.size();
+    }
+
     /** Report lines of backends never listed, or of classes that do not exist. */
     public long unlistedReports() {
         return unlisted;
--- a/src/main/java/rowanmoor/discovery/RosterView.java
+++ b/src/main/java/rowanmoor/discovery/RosterView.java
@@ -33,10 +33,13 @@
     record Step(Members event, long index, boolean usable) { }
 
     private static final long MILLI = 1_000_000L;
+    /** An address that has been gone for so long is new when it comes back. */
+    private static final long FORGET = 600_000 * MILLI;
 
     private final long emptyHold;
     private final TreeMap<Backend, Member> held = new TreeMap<>();
     private final TreeMap<Backend, Long> stamps = new TreeMap<>();
+    private final TreeMap<Backend, Long> goneAt = new TreeMap<>();
     private long index;
     private long version;
     private long emptySince = -1;
@@ -101,11 +104,14 @@
             }
         }
         List<Member> changes = new ArrayList<>();
+        goneAt.keySet().removeAll(fresh.keySet());
+        goneAt.entrySet().removeIf(e -> now - e.getValue() > FORGET && forget(e.getKey()));
         held.replaceAll((backend, old) -> {
             if (fresh.containsKey(backend) || old.listed() == Listed.GONE) {
                 return old;
             }
             changes.add(old.gone());
+            goneAt.put(backend, now);
             return old.gone();
         });
         fresh.forEach((backend, member) -> {
@@ -116,6 +122,17 @@
         return List.copyOf(changes);
     }
 
+    private boolean forget(Backend backend) {
+        stamps.remove(backend);
+        held.remove(backend);
+        return true;
+    }
+
+    /** How many addresses are remembered, those gone for a while among them. */
+    int remembered() {
+        return Math.max(held.size(), Math.max(stamps.size(), goneAt.size()));
+    }
+
     /** A start is told in this side's clock; the same stamp always becomes the same time. */
     private Member member(long now, long wall, RosterAnswer.Entry entry, Member old) {
         Long stamp = stamps.put(entry.backend(), entry.started());
--- a/src/main/java/rowanmoor/proxy/Router.java
+++ b/src/main/java/rowanmoor/proxy/Router.java
@@ -40,6 +40,8 @@
     /** No try follows with less of the deadline left than this part of it. */
     private static final double LEAST_LEFT = 0.1;
     private static final double SECOND = 1e9;
+    /** So many backends may be remembered beside the tables before those that no table names are let go. */
+    private static final int FORGET_FROM = 1024;
     /** Tries that may follow at once after a quiet time, from a budget that is a part of first tries. */
     private static final double BUDGET_MOST = 10;
     /** Draws that may meet a line that is shunned or was tried, before all lines are looked through. */
@@ -163,9 +165,27 @@
         version = update.version();
         Arrays.fill(choices, null);
         update.orders().forEach(this::heed);
+        forget();
         return Heed.DONE;
     }
 
+    /** What no table names any more, and no try is out to, is let go: machines are replaced for years. */
+    private void forget() {
+        if (remembered() < FORGET_FROM) {
+            return;
+        }
+        Set<Backend> named = new TreeSet<>();
+        tables.values().forEach(t -> named.addAll(t.lines.keySet()));
+        Arrays.stream(held).forEach(t -> named.addAll(t.lines.keySet()));
+        withdrawn.retainAll(named);
+        paths.entrySet().removeIf(e -> e.getValue().out == 0 && !named.contains(e.getKey()));
+    }
+
+    /** Backends of which something is kept beside the tables. */
+    int remembered() {
+        return paths.size() + withdrawn.size();
+    }
+
     private void heed(Frame.Order order) {
         if (order instanceof Frame.SetLine o) {
             setLine(tables.computeIfAbsent(o.table(), n -> new Table(held.length)), o.line());
--- a/src/test/java/rowanmoor/controller/DriverPartsTest.java
+++ b/src/test/java/rowanmoor/controller/DriverPartsTest.java
@@ -205,4 +205,24 @@
         @Override
         public void log(String text) { }
     }
+
+    private static Driver driver() throws ConfigError {
+        Settings settings = ControllerConfig.read(Path.of("conf/controller.kdl")).site().settings(1);
+        return new Driver(settings, 1, 5, START, new Silent(), () -> 0);
+    }
+
+    @Test
+    void machinesReplacedForYearsAreNotRememberedForGood() throws ConfigError {
+        Driver driver = driver();
+        long now = START;
+        for (int i = 0; i < 2000; i++) {
+            now += 10 * SECOND;
+            driver.hearList(new Members(i == 0 ? ListKind.FULL : ListKind.DELTA, i, List.of(
+                    new Member(new Backend(100 + i), 0, 0, 0, Listed.READY, 1, 0),
+                    new Member(new Backend(99 + i), 0, 0, 0, Listed.GONE, 1, 0))));
+            driver.tick(now);
+            driver.tick(now + 2 * SECOND);
+        }
+        assertTrue(driver.backendsKnown() < 100, driver.backendsKnown() + " known of 2000");
+    }
 }
--- a/src/test/java/rowanmoor/discovery/RosterViewTest.java
+++ b/src/test/java/rowanmoor/discovery/RosterViewTest.java
@@ -107,4 +107,13 @@
                 "\"Checks\":[{\"Status\":\"critical\"}]") + "]").getBytes(), List.of("z"), List.of("k"))
                 .entries().size());
     }
+
+    @Test
+    void machinesReplacedForYearsAreNotRememberedForGood() {
+        for (int i = 1; i <= 20_000; i++) {
+            view.answer(NOW + i * 5 * SECOND, 5_000_000, 4 + i, answer(entry(i, Listed.READY, 7),
+                    entry(i + 1, Listed.READY, 7)));
+        }
+        assertTrue(view.remembered() < 300, view.remembered() + " remembered of 20000");
+    }
 }
--- a/src/test/java/rowanmoor/proxy/RouterTest.java
+++ b/src/test/java/rowanmoor/proxy/RouterTest.java
@@ -257,4 +257,18 @@
         assertEquals(500, admitted(safe, 24 * SECOND, 25 * SECOND, 500), "a controller is back");
         assertEquals(500, admitted(with(1, -1), 90 * SECOND, 91 * SECOND, 500), "kept where so set");
     }
+
+    @Test
+    void machinesReplacedForYearsAreNotRememberedForGood() {
+        joined();
+        update(9, 1, new Frame.Bind(0, table(4, null, A), List.of()));
+        for (int i = 0; i < 20_000; i++) {
+            Backend fresh = new Backend(1000 + i);
+            update(9, 2 + i, new Frame.SetLine(4, new Frame.Line(fresh, 1)), new Frame.Withdraw(
+                    new Backend(999 + i), true), new Frame.SetLine(4, new Frame.Line(new Backend(999 + i), 0)));
+            assertTrue(picks(0).size() > 0);
+        }
+        assertTrue(router.remembered() < 1100, router.remembered() + " remembered of 20000");
+        assertEquals(Set.of(A, new Backend(20_999)), picks(0));
+    }
 }
