--- a/src/main/java/rowanmoor/controller/Driver.java
+++ b/src/main/java/rowanmoor/controller/Driver.java
@@ -75,6 +75,7 @@
         private final int zone;
         private final int[] tables;
         private long version;
+        private boolean snapshotWaits;
 
         Peer(int zone, int classes) {
             this.zone = zone;
@@ -186,7 +187,8 @@
     /** A proxy has lost the thread: all that is ordered for it is sent anew, through the channel. */
     public void resync(long now, int proxy) {
         Peer peer = peers.get(proxy);
-        if (peer != null) {
+        if (peer != null && !peer.snapshotWaits) {
+            peer.snapshotWaits = true; // however often it asks, one at a time waits in the channel
             Frame.Snapshot whole = snapshot(peer, now);
             double lines = settings.channel().head() + whole.withdrawn().size() + whole.tables().stream()
                     .mapToInt(t -> 1 + t.lines().size() + t.levels().size()).sum();
@@ -353,6 +355,7 @@
                         draft.orders()));
             } else {
                 Frame.Snapshot s = draft.snapshot();
+                peer.snapshotWaits = false;
                 outside.send(entry.proxy(), new Frame.Snapshot(epoch, ++peer.version, entry.orderedAt(),
                         waiting, s.tables(), s.bindings(), s.withdrawn(), s.overall()));
             }
--- a/src/test/java/rowanmoor/controller/DriverPartsTest.java
+++ b/src/test/java/rowanmoor/controller/DriverPartsTest.java
@@ -225,4 +225,22 @@
         }
         assertTrue(driver.backendsKnown() < 100, driver.backendsKnown() + " known of 2000");
     }
+
+    @Test
+    void aProxyThatAsksForSnapshotsWithoutEndHasOneWaiting() throws ConfigError {
+        Driver driver = driver();
+        driver.hearList(new Members(ListKind.FULL, 1, List.of(
+                new Member(new Backend(100), 0, 0, 0, Listed.READY, 1, 0))));
+        driver.joined(START, new Frame.Hello(1, 1, 1, 0, 5, true, 0, 0, "p"));
+        driver.tick(START);
+        double before = driver.waitingLines();
+        for (int i = 0; i < 1000; i++) {
+            driver.resync(START, 1);
+        }
+        assertTrue(driver.waitingLines() < before + 50, driver.waitingLines() + " lines wait, " + before + " before");
+        driver.tick(START + 60 * SECOND);
+        double sent = driver.totalLines();
+        driver.resync(START + 60 * SECOND, 1);
+        assertTrue(driver.totalLines() > sent, "once it has left, another may be asked for");
+    }
 }
