--- a/src/main/java/rowanmoor/channel/Codec.java
+++ b/src/main/java/rowanmoor/channel/Codec.java
@@ -14,6 +14,7 @@
 /** Frames to bytes and back; all numbers big end first. */
 public final class Codec {
 
+    private static final long LONGEST_TRY = 86_400_000_000_000L;
     private static final int MAGIC = 0x52574d43;
     private static final int HELLO = 1;
     private static final int SNAPSHOT = 2;
@@ -253,6 +254,9 @@
             if (failed > tries) {
                 throw new ChannelError("a tally has more failures than tries");
             }
+            if (sum / LONGEST_TRY > tries - failed) {
+                throw new ChannelError("a tally has latencies beyond a day a try");
+            }
             int count = u8();
             List<Double> load = new ArrayList<>(Math.min(count, 8));
             for (int i = 0; i < count; i++) {
--- a/src/main/java/rowanmoor/controller/Intake.java
+++ b/src/main/java/rowanmoor/controller/Intake.java
@@ -40,8 +40,8 @@
         void add(Sum other) {
             count += other.count;
             failed += other.failed;
-            latency += other.latency;
-            span += other.span;
+            latency = plus(latency, other.latency);
+            span = plus(span, other.span);
             load = other.load.isEmpty() ? load : other.load;
         }
     }
@@ -62,20 +62,25 @@
         this.releasedAt = now;
     }
 
+    /** A sum of times, neither below 0, that stays at its end: past it, it would turn negative. */
+    private static long plus(long a, long b) {
+        return a + b < 0 ? Long.MAX_VALUE : a + b;
+    }
+
     /** Takes one proxy's report in. */
     void hear(int proxy, int zone, Frame.Report report) {
         for (Frame.Tally tally : report.tallies()) {
             Sum sum = gathering.computeIfAbsent(new Place(false, tally.backend().id(), zone), p -> new Sum());
             sum.count += tally.tries();
             sum.failed += tally.failed();
-            sum.latency += tally.latencySum();
+            sum.latency = plus(sum.latency, tally.latencySum());
             sum.load = tally.load().isEmpty() ? sum.load : tally.load();
         }
         for (Frame.Use use : report.uses()) {
             Sum sum = gathering.computeIfAbsent(new Place(true, proxy, use.cls()), p -> new Sum());
             sum.count += use.requests();
             sum.failed += use.failed();
-            sum.span += use.span();
+            sum.span = plus(sum.span, use.span());
         }
     }
 
--- a/src/test/java/rowanmoor/channel/CodecTest.java
+++ b/src/test/java/rowanmoor/channel/CodecTest.java
@@ -121,4 +121,22 @@
         assertNull(reader.next(bytes));
         assertTrue(reader.inFrame());
     }
+
+    @Test
+    void aTallyWhoseLatenciesCannotBeIsRefused() throws ChannelError {
+        for (long good : new long[] {0, 10}) {
+            for (int over = 0; over < 2; over++) {
+                long sum = good * 86_400_000_000_000L + over * 86_400_000_000_000L;
+                ByteBuffer bytes = Codec.encode(new Frame.Report(List.of(new Frame.Tally(new Backend(1), good + 2, 2, sum,
+                        5, List.of())), List.of()));
+                FrameReader reader = new FrameReader(LIMITS);
+                if (over == 0) {
+                    assertTrue(reader.next(bytes) instanceof Frame.Report);
+                } else {
+                    ChannelError e = assertThrows(ChannelError.class, () -> reader.next(bytes));
+                    assertTrue(e.getMessage().contains("beyond a day a try"), e.getMessage());
+                }
+            }
+        }
+    }
 }
--- a/src/test/java/rowanmoor/controller/DriverPartsTest.java
+++ b/src/test/java/rowanmoor/controller/DriverPartsTest.java
@@ -243,4 +243,18 @@
         driver.resync(START + 60 * SECOND, 1);
         assertTrue(driver.totalLines() > sent, "once it has left, another may be asked for");
     }
+
+    @Test
+    void sumsOfLatenciesNearTheirEndStayAtIt() {
+        Intake intake = new Intake(100, SECOND, START);
+        for (int proxy = 0; proxy < 3; proxy++) {
+            intake.hear(proxy, 0, new Frame.Report(List.of(new Frame.Tally(new Backend(1), 10, 1, Long.MAX_VALUE / 2,
+                    SECOND, List.of())), List.of(new Frame.Use(0, 4, 0, Long.MAX_VALUE / 2))));
+            intake.hear(proxy, 0, new Frame.Report(List.of(), List.of(new Frame.Use(0, 4, 0, Long.MAX_VALUE / 2 + 9))));
+        }
+        List<Event> told = new ArrayList<>();
+        intake.release(START + SECOND, told::add);
+        assertTrue(((Tally) told.get(0)).latency() > 0, told.get(0).toString());
+        assertTrue(((Usage) told.get(1)).span() > 0, told.get(1).toString());
+    }
 }
