--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -24,6 +24,7 @@
         double newTries;
         double newFailed;
         double newLatencySum;
+        double newSpan; // seconds
         double lastFailing;
         double lastLatency;
         long restUntil;
@@ -38,6 +39,7 @@
 
         void hear(Tally tally) {
             newTries += tally.tries();
+            newSpan += tally.span() / 1e9;
             newFailed += tally.failed();
             newLatencySum += (double) tally.latency() * (tally.tries() - tally.failed());
         }
@@ -55,6 +57,7 @@
             newTries = 0;
             newFailed = 0;
             newLatencySum = 0;
+            newSpan = 0;
         }
     }
 
@@ -83,6 +86,8 @@
         void join(int itsZone) {
             zone = itsZone;
             joined = true;
+            Arrays.fill(newUsage, 0); // what was told late of its time before
+            Arrays.fill(newSpan, 0);
             heard = false;
             bound = false;
         }
@@ -93,8 +98,8 @@
         }
 
         void leave(int number, long now) {
+            leftAt = joined ? now : leftAt;
             joined = false;
-            leftAt = now;
             for (Pool pool : pools) {
                 pool.users.remove(number);
             }
@@ -150,7 +155,7 @@
 
         void remove(Backend backend) {
             if (members.remove(backend)) {
-                holders.merge(backend, -1, Integer::sum);
+                holders.computeIfPresent(backend, (b, n) -> n == 1 ? null : n - 1);
             }
         }
 
@@ -173,9 +178,11 @@
         final int number;
         final double linesBefore;
         final double linesEach;
+        final int messages;
         int answered;
 
-        SentMark(int number, double linesBefore, double linesEach) {
+        SentMark(int number, double linesBefore, double linesEach, int messages) {
+            this.messages = messages;
             this.number = number;
             this.linesBefore = linesBefore;
             this.linesEach = linesEach;
@@ -185,12 +192,13 @@
     /** Books what the channel was given and, by the marks answered, what has surely left it. */
     static final class Sent {
         private static final int MARKS = 65536;
+        private static final int MARKS_KEPT = 4096;
 
         private final ArrayDeque<SentMark> marks = new ArrayDeque<>();
         private double sent;
         private double left;
         private double reply;
-        private int replies = 1;
+        int replies = 1;
         private int messages;
 
         /** One more order of this reply, with lines of its own; the first for a proxy opens its message. */
@@ -206,14 +214,21 @@
             if (reply == 0) {
                 return -1;
             }
-            int number = replies++ % MARKS;
-            marks.add(new SentMark(number, sent, messages == 0 ? 0 : reply / messages));
+            int number = Math.floorMod(replies++, MARKS);
+            marks.add(new SentMark(number, sent, messages == 0 ? 0 : reply / messages, messages));
+            if (marks.size() > MARKS_KEPT) {
+                marks.poll(); // nobody answers; an answer to a later one counts for it
+            }
             sent += reply;
             reply = 0;
             messages = 0;
             return number;
         }
 
+        int marksKept() {
+            return marks.size();
+        }
+
         void drain(double lines) {
             left = Math.min(sent, left + lines);
         }
@@ -225,7 +240,8 @@
                     marks.poll();
                 }
                 SentMark first = marks.peek();
-                left = Math.max(left, first.linesBefore + first.linesEach * first.answered++);
+                left = Math.max(left, first.linesBefore + first.linesEach
+                        * Math.min(first.answered++, first.messages - 1)); // twice frees nothing
             }
         }
 
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -21,6 +21,7 @@
     private static final double FAILED_AS = 1e9, JAM_FAILED_AS = 3e9;
     private static final double OUTLIER = 1.9; // times slower than the median: lighter than hand-overs allow
     private static final long REST = 4_000_000_000L; // how long a path rests, ns
+    private static final long FORGET = 120_000_000_000L; // how long what is gone keeps its lines, ns
     private static final double TRIAL = 0.1, TRIAL_GROWTH = 2; // part of its weight on trial; growth a round
     // Hand-overs: the part of a load gap closed in a round, the gap taken for noise, the design's bounds.
     private static final double HAND_OVER = 0.1, NOISE = 0.1;
@@ -28,13 +29,13 @@
     private static final double ZONE_TABLE_PRICE = 0.02; // crossing price from which zones have own tables
     private static final int POOL_MOST = 25, POOL_LEAST = 6; // backends in a pool (design); to open one more
     private static final int PROXIES_A_TABLE = 5; // at the least (the design's)
-    private static final int TABLES_MOST = 512; // spacing of table numbers: pools of one region and group
     private static final double DEALT = 25; // percent of the mean flow, from which a backend has a pool
     private static final double SHORT = 0.8, UNEVEN = 0.33; // part of demand for a refill; gap for a move
     private static final int WAY_OUT = 2; // backends of other zones in every pool
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
     // Warmth below which a backend stays out, if enough are warm; and in overload or where proxies shun.
     private static final double HOLD = 0.35, HOLD_IN_OVERLOAD = 0.6;
+    private static final double LEAST_WEIGHT = 1e-9; // for those of no weight, where there are no others
     private static final double COLD_MOST = 3; // times its part of demand, that a cold backend has in a table
     private static final double WORTH_SENDING = 0.1, LEVEL_WORTH_SENDING = 0.03; // relative changes sent
     // Levels: the design's figures, but for the proven rate's.
@@ -72,6 +73,7 @@
         Path all = new Path();
         double correction = 1, busy, lastBusy, quiet;
         boolean withdrawn, held;
+        long listedAt; // when the list last changed it
 
         boolean ready() { return member.listed() == Listed.READY; }
 
@@ -87,7 +89,8 @@
 
         /** What it can do. A cold one is slow with each request and short of room: hence the square. */
         double capacity(long now) {
-            return ready() && !held ? member.weight() * correction * warmth(now) * warmth(now) : 0;
+            double weight = Math.max(LEAST_WEIGHT, member.weight());
+            return ready() && !held ? weight * correction * warmth(now) * warmth(now) : 0;
         }
 
         /** How loaded it is, on whatever scale the site reports; 0 if unknown. */
@@ -107,6 +110,7 @@
     private final List<Action> actions = new ArrayList<>();
     private final LinkedHashSet<Integer> joining = new LinkedHashSet<>(); // to be bound, in order
     private final double[] levels;
+    private final long[] wakes = new long[4]; // when each kind of timer is due
     private boolean reportsCame, urgent, joined, watching, jammed;
     private long nextRound, learnedAt, askAt, nextMessage, drainedAt;
     private int roundsHeard, askFailures, overloadedRounds;
@@ -175,21 +179,25 @@
         TreeMap<Backend, BackendState> unmentioned = new TreeMap<>(backends);
         for (Member member : list.entries()) {
             unmentioned.remove(member.backend());
-            heed(backends.computeIfAbsent(member.backend(), b -> new BackendState()), member);
+            BackendState state = backends.computeIfAbsent(member.backend(), b -> new BackendState());
+            heed(now, state, member);
         }
-        if (list.kind() != ListKind.DELTA) { unmentioned.values().forEach(s -> heed(s, s.member.gone())); }
+        if (list.kind() != ListKind.DELTA) { unmentioned.values().forEach(s ->
+                heed(now, s, s.member.gone())); }
     }
 
-    private void heed(BackendState state, Member member) {
+    private void heed(long now, BackendState state, Member member) {
         if (state.member != null && member.startedAt() > state.member.startedAt()) { state.forget(); }
-        urgent |= state.member == null || !state.member.equals(member);
+        boolean changed = state.member == null || !state.member.equals(member);
+        state.listedAt = changed ? now : state.listedAt;
+        urgent |= changed;
         state.member = member;
     }
 
     private void askForList(long now) {
         if (settings.mustAsk() && !watching) {
             watching = now >= askAt;
-            actions.add(watching ? new Watch(true) : new TimerAt(askAt, 1));
+            if (watching) { actions.add(new Watch(true)); } else { wake(now, askAt, 1); }
         }
     }
 
@@ -238,7 +246,11 @@
         if (!reportsCame) { return; }
         reportsCame = false;
         roundsHeard++;
-        double seconds = (learnedAt == 0 ? roundLength : now - learnedAt) / SECOND;
+        // After a silence, reports cover their own span, not the silence.
+        double told = backends.values().stream().flatMap(s -> Arrays.stream(s.paths))
+                .mapToDouble(p -> p.newSpan).max().orElse(0);
+        double gap = (learnedAt == 0 ? roundLength : now - learnedAt) / SECOND;
+        double seconds = Math.min(gap, Math.max(roundLength / SECOND, told));
         learnedAt = now;
         for (BackendState state : backends.values()) {
             state.all.learn(SMOOTH, ENOUGH);
@@ -335,9 +347,12 @@
                 / pool.demand;
     }
 
+    /** How many table numbers a set of pools has: they are 16 bits for all regions and groups together. */
+    private int tablesOfSet() { return ControlApi.ALL_TABLES / (groups.size() * regions); }
+
     private List<Pool> pools(int group, int region) {
         return pools.computeIfAbsent(group * regions + region, k -> new ArrayList<>(List.of(
-                new Pool(k * TABLES_MOST, group))));
+                new Pool(k * tablesOfSet(), group))));
     }
 
     // What joined proxies ask of a group, by region, in work as far as aims tell of it. A region with none is
@@ -418,8 +433,8 @@
     // region uses is in one, a pool too short of what is used is refilled at once, and each has a way out of
     // its zone. Members stay as long as they can: moving a line closes connections.
     private void deal(int region, Map<Backend, Double> flows, List<Pool> set) {
-        int most = settings.proxies() / Math.max(1, settings.instances())
-                / (PROXIES_A_TABLE * regions * groups.size());
+        int most = Math.min(tablesOfSet(), settings.proxies() / Math.max(1, settings.instances())
+                / (PROXIES_A_TABLE * regions * groups.size()));
         Predicate<Backend> away = b -> region(backends.get(b).member.zone()) != region;
         long own = flows.keySet().stream().filter(away.negate()).count();
         while (flows.size() > POOL_MOST && set.size() < Math.min(most, own / POOL_LEAST)) {
@@ -528,15 +543,19 @@
         long over = judged.stream().filter(this::isOverloaded).count();
         jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
         boolean was = overloadedRounds > 0;
-        if (over * 2 <= judged.size()) {
+        double tries = backends.values().stream().mapToDouble(s -> s.all.tries).sum();
+        boolean blind = judged.isEmpty() && tries - good > JAM_FAILED * tries; // too few tries, and they fail
+        if (!blind && over * 2 <= judged.size()) {
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
             double busy = judged.stream().mapToDouble(s -> s.lastBusy).average().orElse(0);
             double raise = busy > 0 ? Math.max(PAST_FULL, Math.min(FAST_RAISE, FULL / busy)) : RAISE;
-            total *= Math.pow(total < known ? FAST_RAISE : raise, seconds);
+            double calm = Math.min(seconds, PATIENCE * roundLength / SECOND); // a silence is no long calm
+            total *= Math.pow(total < known ? FAST_RAISE : raise, calm);
+            total = Math.max(total, HEADROOM * served); // else a total of zero would stay
             double ahead = busy > 0 ? Math.max(AHEAD, FULL / busy) : AHEAD;
             total = Double.isInfinite(total) ? total : Math.min(total, Math.max(ahead * served, known));
-        } else if (roundsHeard > LEARN_ROUNDS) {
+        } else if (!blind && roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (!was) {
                 total = Math.min(total, Math.max(served * (jammed ? HEADROOM : 1), PROVEN_PART * known));
@@ -570,7 +589,7 @@
     /** Shares the part out, worthiest class first; a class's rest becomes one even level for all. */
     private void setLevels() {
         double demand = proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
-        if (total > LIFT * demand) { total = Double.POSITIVE_INFINITY; }
+        if (total >= LIFT * demand) { total = Double.POSITIVE_INFINITY; }
         double part = jammed ? DRAIN * total : total;
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
@@ -630,13 +649,16 @@
             joined = false;
         }
         if (urgent) {
-            actions.add(new TimerAt(Math.max(nextMessage, now + WAIT), 2));
+            wake(now, Math.max(nextMessage, now + WAIT), 2);
+        }
+        if (round) {
+            pools.values().forEach(this::evenOut);
+            forgetGone(now);
         }
-        if (round) { pools.values().forEach(this::evenOut); }
         bind(now);
         int mark = sent.closeReply();
         if (mark >= 0) {
-            actions.add(new Mark(mark, false)); // the answers tell what has left the channel
+            actions.add(new Mark(mark)); // the answers tell what has left the channel
             nextMessage = now + (long) (MESSAGE_SPARE * settings.channel().messageGap());
         }
     }
@@ -658,7 +680,7 @@
             double over = sent.waiting() + lines + settings.channel().head() + 1 - most;
             if (sent.waiting() > 0 && over > 0) {
                 double wait = SECOND * over / settings.channel().linesPerSecond();
-                actions.add(new TimerAt(now + Math.max(WAIT, (long) wait), 3));
+                wake(now, now + Math.max(WAIT, (long) wait), 3);
                 return;
             }
             for (Pool pool : proxy.pools) {
@@ -671,6 +693,14 @@
         }
     }
 
+    /** Sets a timer of a kind, unless one is due before: events come by the hundred meanwhile. */
+    private void wake(long now, long time, int token) {
+        if (wakes[token] <= now || time < wakes[token]) {
+            wakes[token] = time;
+            actions.add(new TimerAt(time, token));
+        }
+    }
+
     private void order(Action action, Collection<ProxyState> users) {
         actions.add(action);
         users.forEach(proxy -> sent.book(proxy, 1, settings.channel().head() + 1));
@@ -699,6 +729,24 @@
         }
     }
 
+    // Machines are replaced for years: one long gone loses its lines first, then it is let go. Not while a
+    // proxy waits to be bound, whose old tables may name it.
+    private void forgetGone(long now) {
+        for (BackendState state : List.copyOf(backends.values())) {
+            Backend backend = state.member.backend();
+            boolean old = state.member.listed() == Listed.GONE && now - state.listedAt > FORGET;
+            if (old && joining.isEmpty()) {
+                List<Pool> all = pools.values().stream().flatMap(List::stream).toList();
+                all.forEach(p -> p.remove(backend));
+                if (all.stream().noneMatch(p -> p.sent.containsKey(backend))) {
+                    backends.remove(backend);
+                    order(new Withdraw(backend, false), proxies.values().stream()
+                            .filter(p -> p.joined).toList());
+                }
+            }
+        }
+    }
+
     // Pools whose lines are furthest off come first; ordinary changes keep to their allowance of the channel.
     private void sendLines(Map<Pool, TreeMap<Backend, Double>> laid, boolean round) {
         double most = fill(round || !joined && !joining.isEmpty() ? ORDINARY_BACKLOG : URGENT_BACKLOG);
