The record shows which level went out and why, in a bounded number of lines

Seen: the log told that overload begins and ends, not one level that was sent. And it grew with the fleet: a line a withdrawn backend and a rested path, a thousand in one tick when a zone goes. Ruled out: a line a proxy, pool or request (there was none). Lines at fault: Logic.setLevels (told nothing), sendWithdrawals and judgePaths (told each). Change: LevelRecord, which decides nothing and does no I/O, has one line when levels change: level by class, total, part, proxies counted and of them departed, and why: set, lowered, raised, lifted, floor, or demand where only usage moved. Ten lines at once and one every ten seconds in the long run; the latest is always told, with how many were left out. Withdrawals, returns and rests of a round are one line each that names eight. Tests: RecordTest: the figures of the line are those of the orders; an hour of flapping each second leaves 370 lines at most, each change told or counted; at 364 proxies held to a level one line a round at most, a thousand lost backends one line of under 400 characters (1,000 lines before).

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -55,6 +55,7 @@
     private static final long LEASE = 10_000_000_000L; // how long departed proxies count, ns
     // No level below this part of mean usage: none out of reach starves. Lifted at so many times the demand.
     private static final double LEAST_LEVEL = 0.1, LIFT = 1.3;
+    private static final int NAMED_MOST = 8; // backends named in one line of the log
     private static final double OPEN_RATE = 1_000_000; // the rate that lets everything in
     // Safe for every class. A try again after any failure cuts the first short: that waste alone feeds jams.
     private static final Retry RETRY = Retry.ONCE_UNRUN;
@@ -109,6 +110,9 @@
     private final List<Action> actions = new ArrayList<>();
     private final LinkedHashSet<Integer> joining = new LinkedHashSet<>(); // to be bound, in order
     private final double[] levels;
+    private final boolean[] floors; // classes whose level is the least
+    private final LevelRecord record;
+    private LevelRecord.Reason reason = LevelRecord.Reason.DEMAND;
     private final long[] wakes = new long[4]; // when each kind of timer is due
     private boolean reportsCame, urgent, joined, watching;
     private long nextRound, learnedAt, askAt, nextMessage, drainedAt;
@@ -126,6 +130,8 @@
                 .sorted(Comparator.comparing(c -> -settings.classes().get(c).worth())).toList();
         this.levels = new double[settings.classes().size()];
         Arrays.fill(levels, openLevel());
+        this.floors = new boolean[levels.length];
+        this.record = new LevelRecord(levels.length, openLevel());
         groupClasses();
     }
 
@@ -269,6 +275,7 @@
         double usualFailing = Fleet.median(judged.stream().map(this::failing).toList());
         double usualLatency = Fleet.median(judged.stream().map(this::latency).filter(l -> l > 0).toList());
         double mayRest = 0;
+        List<String> rested = new ArrayList<>();
         for (BackendState state : backends.values()) {
             double part = !state.ready() ? 0 : state.paths[region].restUntil > 0 ? -1 : REST_MOST;
             mayRest += part * state.member.weight();
@@ -288,13 +295,20 @@
                 path.restUntil = now + REST;
                 path.health = 0;
                 mayRest -= state.member.weight();
-                actions.add(new Log("path rested: " + state.member.backend() + " from region " + region
-                        + " failed " + Math.round(100 * failing(path)) + "%"));
+                rested.add(state.member.backend() + " failed " + Math.round(100 * failing(path)) + "%");
             } else {
                 double slower = usualLatency > 0 ? latency(path) / usualLatency : 1;
                 path.health = Math.min(slower > OUTLIER ? 1 / slower : 1, path.health * TRIAL_GROWTH);
             }
         }
+        tell("path rested from region " + region, rested);
+    }
+
+    /** One line of the log, however many it is about. */
+    private void tell(String what, List<String> which) {
+        String more = which.size() > NAMED_MOST ? " and " + (which.size() - NAMED_MOST) + " more" : "";
+        List<String> named = which.subList(0, Math.min(NAMED_MOST, which.size()));
+        if (!which.isEmpty()) { actions.add(new Log(what + ": " + String.join(", ", named) + more)); }
     }
 
     /** The companion: backends loaded above the mean hand weight to those below, within its bounds. */
@@ -541,11 +555,13 @@
         long over = judged.stream().filter(this::isOverloaded).count();
         boolean jammed = judged.stream().filter(this::isJammed).count() * 2 > judged.size();
         boolean was = overloadedRounds > 0;
+        reason = LevelRecord.Reason.DEMAND; // unless the total changes, only usage can move levels
         double tries = backends.values().stream().mapToDouble(s -> s.all.tries).sum();
         boolean blind = judged.isEmpty() && tries - good > JAM_FAILED * tries; // too few tries, and they fail
         if (!blind && over * 2 <= judged.size()) {
             proven = Math.max(proven, served / Math.max(1e-9, usualCapacity));
             overloadedRounds = 0;
+            reason = LevelRecord.Reason.RAISED;
             double busy = judged.stream().mapToDouble(s -> s.lastBusy).average().orElse(0);
             double raise = busy > 0 ? Math.max(PAST_FULL, Math.min(FAST_RAISE, FULL / busy)) : RAISE;
             double calm = Math.min(seconds, PATIENCE * roundLength / SECOND); // a silence is no long calm
@@ -556,8 +572,10 @@
         } else if (!blind && roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (!was) {
+                reason = LevelRecord.Reason.SET;
                 total = Math.min(total, Math.max(served * (jammed ? HEADROOM : 1), PROVEN_PART * known));
             } else if (overloadedRounds > PATIENCE) {
+                reason = LevelRecord.Reason.LOWERED;
                 total *= HEADROOM;
                 overloadedRounds = 1;
             }
@@ -596,6 +614,7 @@
             double least = share ? LEAST_LEVEL : LEAST_LEVEL * asked / Math.max(1, usage.length);
             levels[cls] = part >= asked ? openLevel()
                     : Math.max(least, share ? part / asked : evenLevel(usage, part));
+            floors[cls] = levels[cls] == least;
             part = Math.max(0, part - asked);
         }
     }
@@ -645,6 +664,7 @@
             sendLines(layTables(now), round);
             sendLevels();
             joined = false;
+            tellLevels(now);
         }
         if (urgent) {
             wake(now, Math.max(nextMessage, now + WAIT), 2);
@@ -715,16 +735,19 @@
 
     /** Drained, gone and held backends are shut out; others are let in as their lines are set anew. */
     private void sendWithdrawals() {
+        List<String> out = new ArrayList<>();
+        List<String> in = new ArrayList<>();
         for (BackendState state : backends.values()) {
             if (state.withdrawn == (state.ready() && !state.held)) {
                 state.withdrawn = !state.withdrawn;
-                String what = state.withdrawn ? " withdrawn: listed " + state.member.listed()
-                        : " let in again";
-                actions.add(new Log("backend " + state.member.backend() + what));
+                String listed = state.withdrawn ? " listed " + state.member.listed() : "";
+                (state.withdrawn ? out : in).add(state.member.backend() + listed);
                 order(new Withdraw(state.member.backend(), state.withdrawn), proxies.values().stream()
                         .filter(p -> p.mayHold(state.member.backend())).toList());
             }
         }
+        tell("withdrawn", out);
+        tell("let in again", in);
     }
 
     // Machines are replaced for years: one long gone loses its lines first, then it is let go. Not while a
@@ -774,6 +797,13 @@
         urgent &= sent.waiting() >= most; // the rest of what a list change brought is sent with the next room
     }
 
+    private void tellLevels(long now) {
+        long departed = proxies.values().stream().filter(p -> !p.joined).count();
+        String line = record.line(now, levels, floors,
+                new LevelRecord.Ground(reason, total, total, proxies.size(), departed));
+        if (line != null) { actions.add(new Log(line)); }
+    }
+
     private void sendLevels() {
         for (Pool pool : pools.values().stream().flatMap(List::stream).toList()) {
             for (int cls : groups.get(pool.group)) {
--- /dev/null
+++ b/src/test/java/rowanmoor/RecordTest.java
@@ -0,0 +1,124 @@
+package rowanmoor;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rowanmoor.TestSettings.MS;
+import static rowanmoor.TestSettings.SECOND;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Log;
+import rowanmoor.ControlApi.Member;
+import rowanmoor.ControlApi.Members;
+import rowanmoor.ControlApi.ProxyLeft;
+
+/** The module's log: which levels went out and why, and never a line a proxy, a pool or a backend. */
+class RecordTest {
+
+    private static List<String> logs(Stand stand, String start) {
+        return stand.all.stream().filter(Log.class::isInstance).map(a -> ((Log) a).text())
+                .filter(t -> t.startsWith(start)).toList();
+    }
+
+    private static void rounds(Stand stand, int proxies, int count, int failed, long latency) {
+        for (int i = 0; i < count; i++) {
+            for (int proxy = 0; proxy < proxies; proxy++) {
+                stand.usage(proxy, 0, 15);
+                stand.usage(proxy, 1, 5);
+            }
+            stand.report(4, 2, b -> failed, b -> latency);
+        }
+    }
+
+    @Test
+    void theLevelThatWentOutIsToldWithItsReason() {
+        Stand stand = new Stand(TestSettings.plain()).start(4, 4);
+        rounds(stand, 4, 5, 0, 100 * MS);
+        assertEquals(List.of(), logs(stand, "levels"), "open levels at first are no change");
+        rounds(stand, 4, 1, 3, 700 * MS);
+        assertEquals(1, logs(stand, "levels set: class 0 ").size(), logs(stand, "").toString());
+        String set = logs(stand, "levels set").get(0);
+        assertTrue(set.contains(String.format(Locale.ROOT, "class 0 %.4g, class 1 open; total ", stand.level(0, 0))), set);
+        assertTrue(set.endsWith("4 proxies counted, 0 of them departed"), set);
+        stand.hear(new ProxyLeft(3));
+        rounds(stand, 3, 4, 3, 700 * MS);
+        String lowered = logs(stand, "levels lowered").get(0);
+        assertTrue(lowered.endsWith("4 proxies counted, 1 of them departed"), lowered);
+        rounds(stand, 3, 150, 10, 0);
+        assertTrue(logs(stand, "levels floor").stream().anyMatch(t -> t.contains("(floor)")), logs(stand, "levels").toString());
+        rounds(stand, 3, 40, 0, 100 * MS);
+        assertTrue(logs(stand, "levels raised").size() > 0);
+        List<String> all = logs(stand, "levels");
+        assertTrue(all.get(all.size() - 1).startsWith("levels lifted: class 0 open, class 1 open; total "),
+                all.get(all.size() - 1));
+    }
+
+    @Test
+    void levelsThatFlapForAnHourLeaveABoundedRecordThatEndsWithTheLatest() {
+        LevelRecord record = new LevelRecord(1, 1e6);
+        boolean[] none = new boolean[1];
+        List<String> lines = new ArrayList<>();
+        double level = 0;
+        for (int second = 0; second < 3600; second++) {
+            level = second % 2 == 0 ? 10 : 20 + second;
+            String line = record.line(second * SECOND, new double[] {level}, none, new LevelRecord.Ground(
+                    LevelRecord.Reason.RAISED, 100, 100, 3, 0));
+            if (line != null) {
+                lines.add(line);
+            }
+        }
+        assertTrue(lines.size() <= 370 && lines.size() >= 300, lines.size() + " lines");
+        String last = null;
+        for (int second = 3600; second < 3612 && last == null; second++) {
+            last = record.line(second * SECOND, new double[] {level}, none, null);
+        }
+        assertTrue(last.contains("class 0 3619;"), last);
+        assertTrue(last.contains("changes before it left out"), last);
+        long left = lines.stream().mapToLong(RecordTest::leftOut).sum() + leftOut(last);
+        assertEquals(3600, lines.size() + 1 + left, "each change is told or counted");
+        assertNull(record.line(3620 * SECOND, new double[] {level}, none, null), "told once");
+    }
+
+    private static long leftOut(String line) {
+        int at = line.lastIndexOf("; ");
+        return line.endsWith("left out") ? Long.parseLong(line.substring(at + 2).split(" ")[0]) : 0;
+    }
+
+    @Test
+    void aFullSizeFleetUnderOverloadLeavesOneLineARoundAtMost() {
+        Stand stand = new Stand(TestSettings.large(364)).startAtOnce(120, 364).settle();
+        int before = stand.all.size();
+        int rounds = 40;
+        for (int i = 0; i < rounds; i++) {
+            boolean calm = i < 8;
+            for (int p = 0; p < 364; p++) {
+                stand.usage(p, 0, 12);
+            }
+            stand.report(120, 2, b -> calm ? 0 : 3, b -> calm ? 100 * MS : 700 * MS);
+        }
+        long lines = stand.all.stream().skip(before).filter(Log.class::isInstance).count();
+        assertTrue(stand.level(0, 0) < 12, "every proxy is held to " + stand.level(0, 0));
+        assertTrue(lines > 1 && lines <= rounds, lines + " lines in " + rounds + " rounds");
+    }
+
+    @Test
+    void aThousandBackendsLostAtOnceAreOneShortLine() {
+        Stand stand = new Stand(TestSettings.plain()).start(0, 0);
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < 1000; i++) {
+            members.add(Stand.member(i, i % 2, Listed.READY, 0));
+        }
+        stand.hear(new Members(ListKind.FULL, 2, members));
+        stand.second();
+        stand.hear(new Members(ListKind.FULL, 3, List.of()));
+        stand.second();
+        List<String> lines = logs(stand, "withdrawn");
+        assertEquals(1, lines.size());
+        assertTrue(lines.get(0).length() < 400 && lines.get(0).endsWith("and 992 more"), lines.get(0));
+    }
+}
