A client that gives up neither clears nor adds to a backend's failures

Seen: a try whose client went away was booked as a good one for shunning: a backend that hangs, with clients less patient than their deadline, never came to five failures in a row. Four failures, a client gone, a fifth: not shunned. Lines at fault: Forward.giveUp, by Router.done(good). Change: Router.gaveUp takes the try back and says nothing of the backend.

--- a/src/main/java/rowanmoor/proxy/Forward.java
+++ b/src/main/java/rowanmoor/proxy/Forward.java
@@ -174,7 +174,7 @@
             left.cancel();
         }
         if (backend != null) {
-            proxy.router().done(backend, true, proxy.now());
+            proxy.router().gaveUp(backend);
             backend = null;
         }
         proxy.tallies().unanswered(cls);
--- a/src/main/java/rowanmoor/proxy/Router.java
+++ b/src/main/java/rowanmoor/proxy/Router.java
@@ -476,6 +476,16 @@
         }
     }
 
+    /** A try was given up by its client, or never left this proxy: it says nothing of the backend. */
+    public void gaveUp(Backend backend) {
+        path(backend).out--;
+    }
+
+    /** Tries out to all backends. */
+    public int out() {
+        return paths.values().stream().mapToInt(p -> p.out).sum();
+    }
+
     /**
      * Whether another try may follow a failed one: as the controller orders, or as usual where it has not,
      * and only with proof that the failed one never ran, unless the class is safe to repeat.
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -625,4 +625,65 @@
         assertEquals(seen[0], sums[2], "tries");
         assertEquals(sums[2] - good, sums[3], "failed tries");
     }
+
+    /** What 80 requests come to whose clients leave at drawn times, with a controller whose streams break. */
+    private long[] cancelled(long seed, boolean streamsBreak) throws IOException, ConfigError {
+        SplittableRandom random = new SplittableRandom(seed);
+        long[] seen = new long[1];
+        long[] sums = new long[4];
+        InetSocketAddress[] backends = new InetSocketAddress[3];
+        for (int b = 0; b < 3; b++) {
+            backends[b] = loop.listen(ANY, Connection.Options.usual(), c -> new Chancy(random.split(), seen)).address();
+        }
+        List<Connection> streams = new ArrayList<>();
+        InetSocketAddress controller = loop.listen(ANY, Connection.Options.usual(), c -> {
+            streams.add(c);
+            return new Listener(sums);
+        }).address();
+        Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(controller), 0, 300 * MS,
+                60 * SECOND, List.of(backends), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop,
+                new SplittableRandom(seed), Tap.NONE);
+        net.runFor(SECOND);
+        List<Near> clients = new ArrayList<>();
+        long leave = 0;
+        for (int i = 0; i < 80; i++) {
+            Near client = new Near(proxy);
+            clients.add(client);
+            String request = get((i % 2 == 0 ? "/r/" : "/p/") + i);
+            int cut = random.nextInt(4) == 0 ? random.nextInt(request.length()) : request.length();
+            client.connection.send(bytes(request.substring(0, cut)));
+            leave += cut < request.length() ? 1 : 0;
+            if (cut < request.length() || random.nextInt(3) == 0) {
+                loop.after(random.nextInt(2500) * MS, () -> client.connection.reset("test"));
+            }
+            net.runFor(random.nextInt(30) * MS);
+            if (streamsBreak && i % 16 == 15) { // with a report under way
+                Connection stream = streams.get(streams.size() - 1);
+                stream.pause(); // what is under way is never read
+                loop.after(1200 * MS, () -> stream.reset("test"));
+            }
+        }
+        net.runFor(6 * SECOND);
+        assertEquals(0, proxy.inflight());
+        assertEquals(0, proxy.router().out(), "tries out");
+        boolean[] stopped = new boolean[1];
+        proxy.stop(() -> stopped[0] = true);
+        net.runFor(SECOND);
+        assertTrue(stopped[0]);
+        long good = clients.stream().filter(c -> c.heard.toString().startsWith("HTTP/1.1 200")).count();
+        clients.forEach(c -> assertTrue(c.heard.toString().split("HTTP/1.1 ").length <= 2, "one answer: " + c.heard));
+        return new long[] {80 - leave, good, seen[0], sums[0], sums[1], sums[2], sums[3]};
+    }
+
+    @Test
+    void whereverAClientLeavesCountsAddUpAndNothingStaysOut() throws IOException, ConfigError {
+        for (long seed = 1; seed <= 25; seed++) {
+            long[] met = cancelled(seed, false);
+            assertEquals(met[0], met[3], "requests with a whole head, seed " + seed);
+            assertTrue(met[4] <= met[3] - met[1] && met[4] >= met[3] - met[1] - 27, "unanswered, seed " + seed);
+            assertTrue(met[5] <= met[2] && met[5] >= met[1], "tries reported " + met[5] + " of " + met[2]);
+            assertEquals(met[5] - met[6], met[3] - met[4], "good tries are requests answered, seed " + seed);
+        }
+    }
+
 }
--- a/src/test/java/rowanmoor/proxy/RouterTest.java
+++ b/src/test/java/rowanmoor/proxy/RouterTest.java
@@ -271,4 +271,19 @@
         assertTrue(router.remembered() < 1100, router.remembered() + " remembered of 20000");
         assertEquals(Set.of(A, new Backend(20_999)), picks(0));
     }
+
+    @Test
+    void aTryThatItsClientGaveUpNeitherClearsNorAddsToABackendsFailures() {
+        for (int i = 0; i < 4; i++) {
+            router.sent(B);
+            router.done(B, false, 0);
+        }
+        router.sent(B);
+        router.gaveUp(B);
+        assertEquals(0, router.out());
+        assertEquals(Set.of(A, B), picks(0), "four failures shun nobody");
+        router.sent(B);
+        router.done(B, false, SECOND);
+        assertEquals(Set.of(A), picks(0), "the fifth in a row does");
+    }
 }
