Without another backend an answer passes as it is, and no retry credit is spent

Seen: a failed try that might be followed spent a credit of the retry budget even if the table had no other backend; the client then got "no backend" in place of what its backend had answered. And a try that found as many connections open as this proxy may have was booked as a failure of the backend. Ruled out: shunned backends (they still count as others: better one than none). Lines at fault: Forward.head, follow, tryOne. Change: first whether there is another backend, then whether it may follow. The proxy's own bound on connections is not held against a backend; its answer is 503 with that reason.

--- a/src/main/java/rowanmoor/proxy/Forward.java
+++ b/src/main/java/rowanmoor/proxy/Forward.java
@@ -81,9 +81,14 @@
         proxy.router().sent(backend);
         sentAt = proxy.now();
         stream = proxy.connection(backend);
-        if (stream == null) {
-            endTry(false, false);
-            follow(true, "as many connections as may be");
+        if (stream == null) { // this proxy's own bound: not held against the backend
+            proxy.router().gaveUp(backend);
+            backend = null;
+            if (mayFollow(true)) {
+                tryOne();
+            } else {
+                finish(503, "as many connections as may be");
+            }
             return;
         }
         long within = proxy.router().tryWithin(cls);
@@ -107,11 +112,17 @@
         return held != null;
     }
 
+    /** Asked in this order, for what lets a try follow may spend a credit: none without another backend. */
+    private boolean mayFollow(boolean neverRan) {
+        return canRepeat() && proxy.router().hasOther(cls, tried)
+                && proxy.router().mayFollow(cls, tried.size(), neverRan, deadline - proxy.now());
+    }
+
     private void follow(boolean neverRan, String why) {
         if (over) {
             return;
         }
-        if (canRepeat() && proxy.router().mayFollow(cls, tried.size(), neverRan, deadline - proxy.now())) {
+        if (mayFollow(neverRan)) {
             tryOne();
         } else {
             finish(502, "the last try failed: " + why);
@@ -231,8 +242,7 @@
         boolean unrun = head.status() == 503 && head.fields().get(Proxy.NEVER_RAN) != null;
         good = head.status() < 500;
         load = proxy.columns().read(head.fields().get(Orca.FIELD));
-        if (!good && canRepeat()
-                && proxy.router().mayFollow(cls, tried.size(), unrun, deadline - proxy.now())) {
+        if (!good && mayFollow(unrun)) {
             ClientStream left = stream;
             Backend of = backend;
             stream = null;
--- a/src/main/java/rowanmoor/proxy/Router.java
+++ b/src/main/java/rowanmoor/proxy/Router.java
@@ -481,6 +481,11 @@
         path(backend).out--;
     }
 
+    /** Whether a class has a backend that was not tried. */
+    public boolean hasOther(int cls, Set<Backend> tried) {
+        return Arrays.stream(choices(cls).backends).anyMatch(b -> !tried.contains(b));
+    }
+
     /** Tries out to all backends. */
     public int out() {
         return paths.values().stream().mapToInt(p -> p.out).sum();
