A request refused by a bound or for a bad field costs no token of its level

Seen: the level was asked first: a request that then met the bound on requests in work, or had a deadline that is no number, had spent a token, earned a retry credit and was counted as let in and never answered. Ruled out: usage, which counts what came, let in or not. Lines at fault: Proxy.begun's order. Change: the field, then the bound, then the level. Tests: aRequestRefusedByABoundCostsNoTokenOfItsLevel fails without it.

--- a/src/main/java/rowanmoor/proxy/Proxy.java
+++ b/src/main/java/rowanmoor/proxy/Proxy.java
@@ -283,25 +283,21 @@
             return;
         }
         tallies.came(cls);
-        if (!router.admits(cls, loop.now())) {
-            refuse(exchange, "refused by its level");
+        long within = config.site().classes().get(cls).deadline();
+        String stated = head.fields().get(conduct().deadlineField());
+        long millis = stated == null ? 0 : millis(stated);
+        if (millis < 0) {
+            own(exchange, 400, conduct().deadlineField() + " is not a number of milliseconds");
             return;
         }
-        if (working.size() >= conduct().inflightMost()) {
-            tallies.unanswered(cls);
+        within = stated == null ? within : Math.min(within, millis * MILLI);
+        if (working.size() >= conduct().inflightMost()) { // asked before its level, which would spend a token
             refuse(exchange, "as many requests in work as may be");
             return;
         }
-        long within = config.site().classes().get(cls).deadline();
-        String stated = head.fields().get(conduct().deadlineField());
-        if (stated != null) {
-            long millis = millis(stated);
-            if (millis < 0) {
-                tallies.unanswered(cls);
-                own(exchange, 400, conduct().deadlineField() + " is not a number of milliseconds");
-                return;
-            }
-            within = Math.min(within, millis * MILLI);
+        if (!router.admits(cls, loop.now())) {
+            refuse(exchange, "refused by its level");
+            return;
         }
         Forward forward = new Forward(this, cls, exchange, within);
         exchange.tag = forward;
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -642,6 +642,27 @@
         assertTrue(made[0].mayFollow(0, 1, true, SECOND), "ten credits at first, none spent");
     }
 
+    @Test
+    void aRequestRefusedByABoundCostsNoTokenOfItsLevel() throws IOException, ConfigError {
+        Conduct u = Conduct.usual();
+        InetSocketAddress at = backend(1);
+        Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(refusing()), 0, 300 * MS,
+                60 * SECOND, List.of(at), 15 * SECOND, 250 * MS, 5000, new Conduct(u.headWithin(), u.idleWithin(),
+                u.wholeWithin(), u.holdMost(), 9, 9, 1, 99, 1, 503, 1, 100 * MS, 0.5, u.deadlineField(),
+                u.stopWithin(), 0)), loop, new SplittableRandom(1), Tap.NONE);
+        net.runFor(3 * SECOND); // no controller: half a request a second, one at once
+        Near first = new Near(proxy).say(get("/p/1"));
+        net.runFor(1900 * MS);
+        assertEquals(1, proxy.inflight());
+        new Near(proxy).say(get("/p/2").replace("\r\n\r\n", "\r\nX-Deadline-Ms: soon\r\n\r\n"));
+        Near refused = new Near(proxy).say(get("/p/3"));
+        assertTrue(refused.heard.toString().contains("as many requests in work"), refused.heard.toString());
+        net.runFor(200 * MS);
+        assertEquals(0, proxy.inflight(), first.heard.toString());
+        Near next = new Near(proxy).say(get("/p/4"));
+        assertEquals(1, proxy.inflight(), "the token of these two seconds is still there: " + next.heard);
+    }
+
     /** What 80 requests come to whose clients leave at drawn times, with a controller whose streams break. */
     private long[] cancelled(long seed, boolean streamsBreak) throws IOException, ConfigError {
         SplittableRandom random = new SplittableRandom(seed);
