Expected to fail: counts through a stream that breaks with a report under way

Seen: a report that a proxy has written and its controller has not read when the stream breaks is lost: usage and tries of up to a period. Reports carry no number and are not answered. Tests: countsAreExactThoughStreamsBreakWithAReportUnderWay.

--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
+import org.junitpioneer.jupiter.ExpectedToFail;
 import rowanmoor.channel.ChannelError;
 import rowanmoor.channel.ChannelLimits;
 import rowanmoor.channel.Codec;
@@ -723,4 +724,13 @@
         }
     }
 
+    /** Reports are not acknowledged: one under way when a stream breaks is lost. docs/hardening-review.md. */
+    @Test
+    @ExpectedToFail("reports are not acknowledged")
+    void countsAreExactThoughStreamsBreakWithAReportUnderWay() throws IOException, ConfigError {
+        for (long seed = 1; seed <= 10; seed++) {
+            long[] met = cancelled(seed, true);
+            assertEquals(met[0], met[3], "requests, seed " + seed);
+        }
+    }
 }
