--- a/src/main/java/rowanmoor/lab/Judge.java
+++ b/src/main/java/rowanmoor/lab/Judge.java
@@ -29,9 +29,28 @@
  */
 public final class Judge {
 
-    /** One rule's verdict; {@code first} tells of the first break, or is empty. */
+    /**
+     * One rule's verdict.
+     *
+     * @param first tells of the first break, or is empty
+     * @param firstAt when that was, nanoseconds from the day's start; -1 for never
+     * @param met how often the run put the rule to work; with 0, that it is kept says nothing
+     */
     public record Verdict(String rule, String unit, double limit, double worst, boolean broken,
-            String first) { }
+            String first, long firstAt, long met) { }
+
+    /** The first break of a rule, as it is met. */
+    private final class First {
+        private String text = "";
+        private long at = -1;
+
+        void note(long when, String what) {
+            if (at < 0) {
+                at = Math.max(0, when - evidence.start());
+                text = what;
+            }
+        }
+    }
 
     private static final double SECOND = 1e9;
     private static final double KNOWING = 2.0 / 3;
@@ -62,9 +81,10 @@
     private final List<Message> messages = new ArrayList<>();
     private final Map<Integer, List<RosterServer.Answered>> told = new TreeMap<>();
     private double worstBare;
-    private String firstBare = "";
+    private long bareMet;
+    private final First firstBare = new First();
     private int misnumbered;
-    private String firstMisnumbered = "";
+    private final First firstMisnumbered = new First();
 
     public Judge(Evidence evidence) {
         this.evidence = evidence;
@@ -84,10 +104,11 @@
         evidence.taps().forEach(t -> byProxy.computeIfAbsent(t.proxy(), p -> new ArrayList<>()).add(t));
         byProxy.forEach(this::follow);
         return List.of(new Verdict("no proxy without a backend", "s", rules.bareLimit() / SECOND,
-                        worstBare / SECOND, worstBare > rules.bareLimit(), firstBare),
-                repeats(), drains(), falls(), queue(),
+                        worstBare / SECOND, worstBare > rules.bareLimit(), firstBare.text, firstBare.at,
+                        bareMet),
+                repeats(), drains(), falls(), queue(), budget(),
                 new Verdict("messages numbered without gaps", "gaps", 0, misnumbered, misnumbered > 0,
-                        firstMisnumbered));
+                        firstMisnumbered.text, firstMisnumbered.at, messages.size()));
     }
 
     private String time(long at) {
@@ -112,19 +133,23 @@
             } else if (tap.what() == Evidence.What.CLOSED) {
                 if (stay != null) {
                     stay.to = tap.at();
-                    settleBare(proxy, stay, mirror, bareSince, tap.at(), true);
+                    settleBare(stay, mirror, bareSince, tap.at(), true);
                     stay = null;
                 }
             } else {
                 ByteBuffer bytes = ByteBuffer.wrap(tap.bytes());
                 while (bytes.hasRemaining() && reader != null) {
-                    Frame frame = next(reader, bytes, proxy);
+                    Frame frame = next(reader, bytes, proxy, tap.at());
                     if (frame == null) {
                         break;
                     }
+                    int[] open = mirror.open();
                     String wrong = mirror.take(frame);
-                    if (wrong != null && misnumbered++ == 0) {
-                        firstMisnumbered = "proxy " + proxy + " at " + time(tap.at()) + ": " + wrong;
+                    bareMet += stay == null ? 0 : mirror.fewerThan(open);
+                    if (wrong != null) {
+                        misnumbered++;
+                        firstMisnumbered.note(tap.at(), "proxy " + proxy + " at " + time(tap.at()) + ": "
+                                + wrong);
                     }
                     if (stay == null && mirror.joined()) {
                         stay = new Stay(proxy, evidence.ranks().getOrDefault(mirror.epoch(), -1), tap.at());
@@ -132,24 +157,23 @@
                     }
                     note(frame, tap.at(), stay);
                     if (stay != null) {
-                        settleBare(proxy, stay, mirror, bareSince, tap.at(), false);
+                        settleBare(stay, mirror, bareSince, tap.at(), false);
                     }
                 }
             }
         }
         if (stay != null) {
-            settleBare(proxy, stay, mirror, bareSince, evidence.end(), true);
+            settleBare(stay, mirror, bareSince, evidence.end(), true);
         }
     }
 
-    private Frame next(FrameReader reader, ByteBuffer bytes, int proxy) {
+    private Frame next(FrameReader reader, ByteBuffer bytes, int proxy, long at) {
         try {
             return reader.next(bytes);
         } catch (ChannelError e) {
             bytes.position(bytes.limit());
-            if (misnumbered++ == 0) {
-                firstMisnumbered = "proxy " + proxy + " read what is no frame: " + e.getMessage();
-            }
+            misnumbered++;
+            firstMisnumbered.note(at, "proxy " + proxy + " read what is no frame: " + e.getMessage());
             return null;
         }
     }
@@ -161,19 +185,20 @@
             if (stay != null) {
                 stay.messages.add(at);
             }
+        } else if (frame instanceof Frame.Snapshot s && !s.bindings().isEmpty()) {
+            // One that was asked for goes through the channel; a stream's first has no bindings and does not.
+            double lines = channel.head() + s.withdrawn().size() + s.tables().stream()
+                    .mapToInt(t -> 1 + t.lines().size() + t.levels().size()).sum();
+            messages.add(new Message(s.epoch(), s.orderedAt(), at, lines, s.waiting()));
         }
     }
 
     /** Closes or opens a class's bare stretch; the part of it counts in which its controller knew better. */
-    private void settleBare(int proxy, Stay stay, Mirror mirror, long[] since, long now, boolean over) {
+    private void settleBare(Stay stay, Mirror mirror, long[] since, long now, boolean over) {
         for (int cls = 0; cls < since.length; cls++) {
             boolean bare = mirror.bare(cls);
             if (since[cls] >= 0 && (!bare || over)) {
                 double longest = longestKnown(stay, cls, Math.max(since[cls], stay.from), now);
-                if (longest > rules.bareLimit() && firstBare.isEmpty()) {
-                    firstBare = "proxy " + proxy + ", class " + site.classNames().get(cls) + ", until "
-                            + time(now);
-                }
                 worstBare = Math.max(worstBare, longest);
                 since[cls] = -1;
             }
@@ -188,12 +213,19 @@
         double longest = 0;
         long since = -1;
         List<Long> times = new ArrayList<>(List.of(from));
-        told.getOrDefault(stay.rank, List.of()).stream().map(RosterServer.Answered::at)
-                .filter(t -> t > from && t < to).forEach(times::add);
+        List<RosterServer.Answered> answers = told.getOrDefault(stay.rank, List.of());
+        // A backend gets warm between two answers as well.
+        java.util.stream.Stream.concat(answers.stream().map(RosterServer.Answered::at), answers.stream()
+                .flatMap(a -> a.listed().stream()).map(i -> i.startedAt() + rules.coldFor()))
+                .filter(t -> t > from && t < to).distinct().sorted().forEach(times::add);
         for (long time : times) {
             boolean known = anyWarm(stay.rank, cls, time);
             since = !known ? -1 : since < 0 ? time : since;
             long next = times.stream().filter(t -> t > time).findFirst().orElse(to);
+            if (since >= 0 && next - since > rules.bareLimit()) {
+                firstBare.note(since + rules.bareLimit(), "proxy " + stay.proxy + ", class "
+                        + site.classNames().get(cls) + ", from " + time(since) + " to " + time(next));
+            }
             longest = Math.max(longest, since < 0 ? 0 : next - since);
         }
         return longest;
@@ -226,6 +258,8 @@
 
     private Verdict repeats() {
         Map<String, List<Ledger.Entry>> byId = new HashMap<>();
+        Map<String, Integer> triesOf = new HashMap<>();
+        evidence.ledger().entries().forEach(e -> triesOf.merge(e.id, 1, Integer::sum));
         evidence.ledger().entries().stream().filter(Ledger.Entry::mayHaveRun)
                 .forEach(e -> byId.computeIfAbsent(e.id, i -> new ArrayList<>()).add(e));
         int worst = 1;
@@ -241,7 +275,9 @@
                         .toList() + " by " + time(firstAt);
             }
         }
-        return new Verdict("no effect twice", "effects", 1, worst, worst > 1, first);
+        return new Verdict("no effect twice", "effects", 1, worst, worst > 1, first,
+                worst > 1 ? firstAt - evidence.start() : -1,
+                triesOf.values().stream().filter(n -> n > 1).count());
     }
 
     /** How many of a try's runs may each have taken effect. */
@@ -267,7 +303,7 @@
 
     private Verdict drains() {
         double worst = 0;
-        String first = "";
+        First first = new First();
         for (Ledger.Entry entry : evidence.ledger().entries()) {
             Stay stay = stayAt(entry.proxy, entry.arrivedAt);
             if (stay == null) {
@@ -278,14 +314,33 @@
                 continue;
             }
             long clock = Math.max(since, stay.from);
-            if (entry.arrivedAt - clock > rules.drainGrace() && first.isEmpty()) {
-                first = "proxy " + entry.proxy + " sent to " + entry.backend + " at "
-                        + time(entry.arrivedAt) + ", told at " + time(since);
+            if (entry.arrivedAt - clock > rules.drainGrace()) {
+                first.note(entry.arrivedAt, "proxy " + entry.proxy + " sent to " + entry.backend + " at "
+                        + time(entry.arrivedAt) + ", told at " + time(since));
             }
             worst = Math.max(worst, entry.arrivedAt - clock);
         }
         return new Verdict("drains kept", "s", rules.drainGrace() / SECOND, worst / SECOND,
-                worst > rules.drainGrace(), first);
+                worst > rules.drainGrace(), first.text, first.at, drainsTold());
+    }
+
+    /** Backends that a controller was told to be draining or gone, each with the proxies it had then. */
+    private long drainsTold() {
+        long met = 0;
+        for (Map.Entry<Integer, List<RosterServer.Answered>> one : told.entrySet()) {
+            TreeSet<Backend> ready = new TreeSet<>();
+            for (RosterServer.Answered answer : one.getValue()) {
+                TreeSet<Backend> now = new TreeSet<>();
+                answer.listed().stream().filter(i -> i.listed() == Listed.READY)
+                        .forEach(i -> now.add(i.backend()));
+                boolean empty = answer.listed().isEmpty();
+                long lost = empty ? 0 : ready.stream().filter(b -> !now.contains(b)).count();
+                met += lost * stays.values().stream().flatMap(List::stream).filter(s -> s.rank == one.getKey()
+                        && s.from <= answer.at() && answer.at() < s.to).count();
+                ready = empty ? ready : now;
+            }
+        }
+        return met;
     }
 
     private Stay stayAt(int proxy, long time) {
@@ -306,7 +361,8 @@
             }
             boolean ready = answer.listed().stream().anyMatch(i -> i.backend().equals(backend)
                     && i.listed() == Listed.READY);
-            wasListed |= ready;
+            // A controller that never saw it ready is told of its drain all the same.
+            wasListed |= answer.listed().stream().anyMatch(i -> i.backend().equals(backend));
             since = ready || !wasListed ? -1 : since < 0 ? answer.at() : since;
         }
         return since;
@@ -317,7 +373,7 @@
     private Verdict falls() {
         double worst = 0;
         boolean broken = false;
-        String first = "";
+        First first = new First();
         for (Ledger.Fall fall : evidence.ledger().falls()) {
             double known = 0;
             double all = 0;
@@ -332,11 +388,22 @@
             worst = Math.max(worst, all == 0 ? 0 : known / all);
             if (all > 0 && known / all >= KNOWING) {
                 broken = true;
-                first = first.isEmpty() ? fall.backend() + " fell at " + time(fall.at()) : first;
+                first.note(fall.at(), fall.backend() + " fell at " + time(fall.at()));
             }
         }
         return new Verdict("no cold backend pushed over", "part of a fall's load that knew", KNOWING, worst,
-                broken, first);
+                broken, first.text, first.at, coldLoaded());
+    }
+
+    /** Requests that came to a backend while, going by what the roster said of its start, it was cold. */
+    private long coldLoaded() {
+        Map<Backend, TreeSet<Long>> starts = new HashMap<>();
+        evidence.answers().forEach(a -> a.listed().stream().filter(i -> i.started() > 0).forEach(i ->
+                starts.computeIfAbsent(i.backend(), b -> new TreeSet<>()).add(i.startedAt())));
+        return evidence.ledger().entries().stream().filter(e -> starts.containsKey(e.backend)).filter(e -> {
+            Long start = starts.get(e.backend).floor(e.arrivedAt);
+            return start != null && e.arrivedAt - start < rules.coldFor();
+        }).count();
     }
 
     /** Whether a request came from a proxy, or under a controller, that knew of the start. */
@@ -370,7 +437,7 @@
         Map<Long, List<Message>> byEpoch = new TreeMap<>();
         messages.forEach(m -> byEpoch.computeIfAbsent(m.epoch(), e -> new ArrayList<>()).add(m));
         double worst = 0;
-        String first = "";
+        First first = new First();
         for (List<Message> all : byEpoch.values()) {
             all.sort(Comparator.comparingLong(Message::orderedAt));
             double waiting = 0;
@@ -380,18 +447,44 @@
                         * channel.linesPerSecond()) + message.lines();
                 before = message.orderedAt();
                 worst = Math.max(worst, Math.max(waiting, message.waiting()));
-                if (worst > channel.backlog() && first.isEmpty()) {
-                    first = Math.round(worst) + " lines waited at " + time(message.orderedAt());
+                if (worst > channel.backlog()) {
+                    first.note(message.orderedAt(), Math.round(worst) + " lines waited at "
+                            + time(message.orderedAt()));
                 }
             }
             double ahead = aheadOfPace(all);
             worst = Math.max(worst, ahead);
-            if (ahead > channel.backlog() && first.isEmpty()) {
-                first = Math.round(ahead) + " lines came faster than the pace";
+            if (ahead > channel.backlog()) {
+                first.note(all.get(0).orderedAt(), Math.round(ahead) + " lines came faster than the pace");
             }
         }
         return new Verdict("a short queue", "lines", channel.backlog(), worst, worst > channel.backlog(),
-                first);
+                first.text, first.at, messages.stream().filter(m -> m.waiting() > m.lines()).count());
+    }
+
+    /** Messages to one proxy over the stated span, where they are limited; counted anew with each stream. */
+    private Verdict budget() {
+        int worst = 0;
+        First first = new First();
+        for (List<Stay> all : stays.values()) {
+            for (Stay stay : all) {
+                int from = 0;
+                for (int i = 0; i < stay.messages.size(); i++) {
+                    while (stay.messages.get(i) - stay.messages.get(from) >= channel.messagesOver()) {
+                        from++;
+                    }
+                    worst = Math.max(worst, i - from + 1);
+                    if (channel.messagesMost() > 0 && i - from + 1 > channel.messagesMost()) {
+                        long at = stay.messages.get(i);
+                        first.note(at, "proxy " + stay.proxy + " at " + time(at));
+                    }
+                }
+            }
+        }
+        boolean limited = channel.messagesMost() > 0;
+        return new Verdict("messages within their limit", "messages",
+                limited ? channel.messagesMost() : worst, worst, first.at >= 0, first.text, first.at,
+                limited ? messages.size() : 0);
     }
 
     /** Most lines by which arrivals over any stretch were ahead of the pace and of what the way holds. */
--- a/src/main/java/rowanmoor/lab/Mirror.java
+++ b/src/main/java/rowanmoor/lab/Mirror.java
@@ -121,6 +121,21 @@
         }
     }
 
+    /** Lines to pick, by class. */
+    int[] open() {
+        int[] open = new int[tableOf.length];
+        for (int c = 0; c < open.length; c++) {
+            open[c] = (int) lines(c).keySet().stream().filter(b -> !withdrawn.contains(b)).count();
+        }
+        return open;
+    }
+
+    /** In how many classes there are fewer lines to pick than there were. */
+    long fewerThan(int[] before) {
+        int[] now = open();
+        return java.util.stream.IntStream.range(0, now.length).filter(c -> now[c] < before[c]).count();
+    }
+
     /** Whether there is no line to pick for a class. */
     boolean bare(int cls) {
         return withdrawn.containsAll(lines(cls).keySet());
--- a/src/main/java/rowanmoor/standin/Ledger.java
+++ b/src/main/java/rowanmoor/standin/Ledger.java
@@ -49,7 +49,8 @@
     private final List<Entry> entries = new ArrayList<>();
     private final List<Fall> falls = new ArrayList<>();
 
-    Entry open(Backend backend, String id, String path, int proxy, double work, long now) {
+    /** A request has come to a backend. */
+    public Entry open(Backend backend, String id, String path, int proxy, double work, long now) {
         Entry entry = new Entry(backend, id, path, proxy, work, now);
         entries.add(entry);
         return entry;
--- /dev/null
+++ b/src/test/java/rowanmoor/lab/Histories.java
@@ -0,0 +1,106 @@
+package rowanmoor.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import rowanmoor.ControlApi.Retry;
+import rowanmoor.channel.Frame;
+import rowanmoor.config.ConfigError;
+import rowanmoor.config.Section;
+import rowanmoor.proxy.Router;
+
+/** Recorded histories: days in small files that say which rules they put to work, and which fault breaks one. */
+final class Histories {
+
+    static final Path FOLDER = Path.of("src/test/resources/histories");
+
+    /** A rule that is broken with a fault, first between two moments (ns from the day's start). */
+    record Rejected(String rule, Player.Mutant fault, long from, long to) { }
+
+    record History(DayFile day, List<String> meets, List<Rejected> rejects) { }
+
+    private Histories() { }
+
+    static List<Path> files() throws IOException {
+        List<Path> days = new ArrayList<>();
+        try (Stream<Path> files = Files.list(FOLDER)) {
+            for (Path file : files.sorted().toList()) {
+                if (Files.readString(file).contains("history {")) {
+                    days.add(file);
+                }
+            }
+        }
+        return days;
+    }
+
+    static History read(Path file) throws ConfigError, IOException {
+        return read(file.toString(), Files.readString(file));
+    }
+
+    static History read(String file, String text) throws ConfigError {
+        Section root = Section.parse(file, text);
+        Section h = root.section("history");
+        List<String> meets = h.texts("meets", true);
+        List<Section> rejects = h.sections("rejects");
+        h.finish();
+        List<Object[]> asked = new ArrayList<>();
+        for (Section r : rejects) {
+            String fault = r.text("fault");
+            if (!fault.equals("told-other") && !FAULTS.containsKey(fault)) {
+                r.problem("fault", "there is no such: " + fault);
+            }
+            String site = r.has("site") ? r.text("site") : null;
+            asked.add(new Object[] {r.name(), fault, site, r.duration("from", "0s", "1h"), r.duration("to", "0s", "1h")});
+            r.finish();
+        }
+        DayFile day = DayFile.read(root);
+        List<Rejected> faults = new ArrayList<>();
+        for (Object[] a : asked) {
+            faults.add(new Rejected((String) a[0], a[1].equals("told-other") ? toldOther(day, file, text, (String) a[2])
+                    : FAULTS.get(a[1]).apply(day), (long) a[3], (long) a[4]));
+        }
+        return new History(day, meets, faults);
+    }
+
+    /** Controllers are set up by another site's figures than those that they are judged by. */
+    private static Player.Mutant toldOther(DayFile day, String file, String text, String site) throws ConfigError {
+        Section other = Section.parse(file, text.replaceFirst("site-from \"[^\"]*\"", "site-from \"" + site + "\""));
+        other.section("history").sections("rejects").forEach(r -> List.of("fault", "site", "from", "to").forEach(r::has));
+        Section h = other.section("history");
+        h.texts("meets", true);
+        Player.Mutant none = Player.Mutant.none(day);
+        return new Player.Mutant(DayFile.read(other), none.routers(), none.between());
+    }
+
+    private static final Map<String, Function<DayFile, Player.Mutant>> FAULTS = Map.of(
+            "empties-tables", day -> orders(day, order -> order instanceof Frame.Bind b
+                    ? new Frame.Bind(b.classes(), new Frame.Table(b.table().number(), List.of(),
+                            b.table().levels()), List.of())
+                    : order instanceof Frame.SetLine s ? new Frame.Clear(s.table()) : order),
+            "drops-withdrawals", day -> orders(day, order -> order instanceof Frame.Withdraw w && w.out()
+                    || order instanceof Frame.SetLine s && s.line().weight() == 0 ? new Frame.Mark(65535)
+                    : order instanceof Frame.Bind b ? new Frame.Bind(b.classes(), b.table(), List.of()) : order),
+            "repeats-unsafe", day -> {
+                Player.Mutant told = orders(day, order -> order instanceof Frame.Bind b
+                        ? new Frame.Bind(b.classes(), new Frame.Table(b.table().number(), b.table().lines(),
+                                List.of(new Frame.Level(0, 1e6, Retry.ONCE))), b.withdrawn()) : order);
+                return new Player.Mutant(day, parts -> new Router(parts.site(), parts.standing(), parts.random(),
+                        parts.now()) {
+                    @Override
+                    protected boolean repeatable(int cls) {
+                        return true;
+                    }
+                }, told.between());
+            });
+
+    private static Player.Mutant orders(DayFile day, Function<Frame.Order, Frame.Order> change) {
+        return new Player.Mutant(day, Player.Mutant.none(day).routers(), (loop, real) -> new FrameRelay(loop, real,
+                frame -> frame instanceof Frame.Update u ? new Frame.Update(u.epoch(), u.version(), u.orderedAt(),
+                        u.waiting(), u.orders().stream().map(change).toList()) : frame));
+    }
+}
--- /dev/null
+++ b/src/test/java/rowanmoor/lab/JudgeTest.java
@@ -0,0 +1,103 @@
+package rowanmoor.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.channel.Codec;
+import rowanmoor.channel.Frame;
+import rowanmoor.config.ConfigError;
+import rowanmoor.config.Section;
+import rowanmoor.config.Site;
+import rowanmoor.standin.Ledger;
+import rowanmoor.standin.RosterServer;
+
+/** What the judge once did not see, from evidence written out by hand: proxy 0, controller 0, backend B. */
+class JudgeTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final Backend B = new Backend(0x7f000001_2328L);
+    private final List<Evidence.Tapped> taps = new ArrayList<>();
+    private final List<RosterServer.Answered> answers = new ArrayList<>();
+    private final Ledger ledger = new Ledger();
+
+    private void read(double at, Frame frame) {
+        var bytes = Codec.encode(frame);
+        byte[] copy = new byte[bytes.remaining()];
+        bytes.get(copy);
+        taps.add(new Evidence.Tapped(0, 1, (long) (at * SECOND), Evidence.What.READ, copy));
+    }
+
+    private void joins(double at) {
+        taps.add(new Evidence.Tapped(0, 1, (long) (at * SECOND), Evidence.What.OPENED, new byte[0]));
+        read(at, new Frame.Snapshot(7, 0, 0, 0, List.of(), List.of(), List.of(), List.of()));
+    }
+
+    private void told(double at, Listed listed, double startedAt) {
+        answers.add(new RosterServer.Answered("rowanmoor-0", (long) (at * SECOND), List.of(new RosterServer.Instance(B,
+                "north", "fast", 1, listed, (long) (startedAt * 1000), (long) (startedAt * SECOND)))));
+    }
+
+    private Judge.Verdict verdict(String rule, double end, List<Backend> standing) throws ConfigError {
+        Site site = Site.of(Section.read(Path.of("src/test/resources/histories/limited.kdl")));
+        Evidence evidence = new Evidence(site, 0, (long) (end * SECOND), Map.of(B, new Evidence.Place(0, 0)),
+                List.of(standing), taps, Map.of(7L, 0), ledger, answers);
+        return new Judge(evidence).verdicts().stream().filter(v -> v.rule().equals(rule)).findFirst().orElseThrow();
+    }
+
+    @Test
+    void aBackendThatGetsWarmBetweenTwoAnswersEndsTheExcuseOfABareProxy() throws ConfigError {
+        told(100, Listed.READY, 100);
+        joins(101);
+        Judge.Verdict bare = verdict("no proxy without a backend", 120, List.of());
+        assertTrue(bare.broken(), bare.toString()); // warm at 108, bare for more than 3 s from there
+        assertEquals(111 * SECOND, bare.firstAt());
+        assertFalse(verdict("no proxy without a backend", 110.9, List.of()).broken());
+    }
+
+    @Test
+    void aDrainHoldsForAControllerThatNeverSawTheBackendReady() throws ConfigError {
+        told(100, Listed.DRAINING, 0);
+        joins(101);
+        ledger.open(B, "r1", "/preview/1", 0, 1, 103 * SECOND);
+        assertFalse(verdict("drains kept", 120, List.of(B)).broken(), "2 s after the join");
+        ledger.open(B, "r2", "/preview/2", 0, 1, 104 * SECOND);
+        Judge.Verdict drain = verdict("drains kept", 120, List.of(B));
+        assertTrue(drain.broken(), drain.toString());
+        assertEquals(104 * SECOND, drain.firstAt());
+    }
+
+    @Test
+    void snapshotsThatWereAskedForCountInTheQueue() throws ConfigError {
+        joins(100);
+        List<Frame.Line> lines = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            lines.add(new Frame.Line(new Backend(i), 1));
+        }
+        for (int i = 0; i < 12; i++) {
+            read(101, new Frame.Snapshot(7, i, 101 * SECOND, 0, List.of(new Frame.Table(1, lines, List.of())),
+                    List.of(new Frame.Binding(1, 3)), List.of(), List.of()));
+        }
+        Judge.Verdict queue = verdict("a short queue", 120, List.of(B));
+        assertTrue(queue.broken() && queue.worst() > 2000, queue.toString());
+    }
+
+    @Test
+    void messagesToOneProxyAreCountedOverTheirSpan() throws ConfigError {
+        joins(100);
+        for (int i = 0; i < 21; i++) {
+            read(100.1 + i * 0.3, new Frame.Update(7, i + 1, 0, 0, List.of(new Frame.Mark(i))));
+        }
+        Judge.Verdict budget = verdict("messages within their limit", 120, List.of(B));
+        assertTrue(budget.broken(), budget.toString());
+        assertEquals(21, budget.worst());
+        assertEquals(106.1, budget.firstAt() / 1e9, 1e-6);
+    }
+}
