Tested: moves between pools and returns keep to the message budget

Cause: a bind is not spaced like other replies; whether proxies that are moved while the list changes could exceed their messages was open. Change: a test alone, on 60 proxies in pools whose loads are drawn anew each round and a list that changes each 150 ms. Figures: at most 20 messages to any proxy within 10 s over a minute, the limit being 20. Conclusion: ruled out.

--- a/src/test/java/rowanmoor/LargeFleetTest.java
+++ b/src/test/java/rowanmoor/LargeFleetTest.java
@@ -22,6 +22,7 @@
 import rowanmoor.ControlApi.ProxyJoined;
 import rowanmoor.ControlApi.ProxyLeft;
 import rowanmoor.ControlApi.SetLine;
+import rowanmoor.ControlApi.Settings;
 import rowanmoor.ControlApi.Tally;
 import rowanmoor.ControlApi.Usage;
 import rowanmoor.ControlApi.Withdraw;
@@ -296,4 +297,39 @@
         }
         assertTrue(bound[1] > 1.5 * bound[0], bound[0] + " bound unanswered, " + bound[1] + " answered");
     }
+
+    @Test
+    void movesBetweenPoolsAndReturnsKeepToTheMessageBudget() {
+        Settings s = TestSettings.large(60);
+        Stand its = new Stand(new Settings(1, 2, s.classes(), false, false, s.admission(), 0, 60, 0, SECOND, 500, 0.05,
+                s.columns(), s.rules(), new ControlApi.Channel(1e6, 4, 1e6, 20, 10 * SECOND, 200 * MS, 500 * MS)))
+                .startAtOnce(60, 60).settle();
+        java.util.Random random = new java.util.Random(5);
+        java.util.Map<Integer, List<Long>> told = new java.util.HashMap<>();
+        int most = 0;
+        for (int i = 0; i < 1200; i++) {
+            its.now += 50 * MS;
+            if (i % 20 == 0) { // a round: who is heavy changes all the time
+                for (int p = 0; p < 60; p++) {
+                    its.usage(p, 0, random.nextInt(10) == 0 ? 400 : 5);
+                }
+                for (int b = 0; b < 60; b++) {
+                    its.logic.on(its.now, new Tally(Stand.backend(b), b % 2, 10, 0, 100 * MS + random.nextInt(400) * MS,
+                            SECOND, List.of()));
+                }
+            }
+            if (i % 3 == 0) {
+                int b = random.nextInt(60);
+                its.logic.on(its.now, new Members(ListKind.DELTA, i, List.of(Stand.member(b, b % 2,
+                        random.nextBoolean() ? Listed.READY : Listed.GONE, 0))));
+            }
+            its.decide();
+            for (int p : its.lastTold()) {
+                List<Long> times = told.computeIfAbsent(p, k -> new java.util.ArrayList<>());
+                times.add(its.now);
+                most = Math.max(most, (int) times.stream().filter(t -> t > its.now - 10 * SECOND).count());
+            }
+        }
+        assertTrue(most > 10 && most <= 20, most + " messages to one proxy within 10 s");
+    }
 }
--- a/src/test/java/rowanmoor/Stand.java
+++ b/src/test/java/rowanmoor/Stand.java
@@ -123,6 +123,11 @@
         return lines.values().stream().mapToDouble(n -> n + settings.channel().head() + 1).sum();
     }
 
+    /** The proxies that the last reply writes to. */
+    java.util.Set<Integer> lastTold() {
+        return lines.keySet();
+    }
+
     /** Books an order at each proxy concerned, as the proxies are bound when it is given. */
     private void price(Action action) {
         if (action instanceof Bind bind) {
