A tap on a full disk ends; the stream that it taps goes on

Ruled out: a disk that stalls: the tap is still written on the loop, buffered; it is for audits (docs/architecture.md). Lines at fault: TapFile.write. Change: the first failure ends the file; closing it tells why. Tests: aTapOnAFullDiskEndsAndItsStreamGoesOn fails without it.

--- a/src/main/java/rowanmoor/proxy/TapFile.java
+++ b/src/main/java/rowanmoor/proxy/TapFile.java
@@ -7,13 +7,13 @@
 import java.io.DataOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
 /**
- * A tap that writes to a file, for audits of processes of their own. Records, big end first: what (1 opened,
+ * A tap that writes to a file, for audits of processes of their own. What cannot be written ends the file,
+ * not the stream that it taps: closing tells why. Records, big end first: what (1 opened,
  * 2 read, 3 closed), proxy (u16), stream (u32), time (u64, ns), count (u32) and that many bytes.
  */
 public final class TapFile implements Tap, Closeable {
@@ -24,6 +24,7 @@
     private static final int BYTES_MOST = 1 << 20;
 
     private final DataOutputStream out;
+    private IOException ended;
 
     public TapFile(Path file) throws IOException {
         out = new DataOutputStream(new BufferedOutputStream(Files.newOutputStream(file), 1 << 16));
@@ -45,6 +46,9 @@
     }
 
     private void write(int what, int proxy, int stream, long now, ByteBuffer bytes) {
+        if (ended != null) {
+            return;
+        }
         try {
             byte[] copy = new byte[bytes.remaining()];
             bytes.get(copy);
@@ -55,13 +59,16 @@
             out.writeInt(copy.length);
             out.write(copy);
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            ended = e;
         }
     }
 
     @Override
     public void close() throws IOException {
         out.close();
+        if (ended != null) {
+            throw ended;
+        }
     }
 
     /** Passes a file's records to another tap; answers false if the last one is cut off. */
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -733,4 +733,21 @@
             assertEquals(met[0], met[3], "requests, seed " + seed);
         }
     }
+
+    @Test
+    void aTapOnAFullDiskEndsAndItsStreamGoesOn() throws IOException, ConfigError {
+        java.nio.file.Path full = java.nio.file.Path.of("/dev/full"); // every write to it fails for want of space
+        org.junit.jupiter.api.Assumptions.assumeTrue(java.nio.file.Files.exists(full));
+        TapFile tap = new TapFile(full);
+        long[] sums = new long[4];
+        InetSocketAddress controller = loop.listen(ANY, Connection.Options.usual(), c -> new Listener(sums)).address();
+        Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(controller), 0, 300 * MS,
+                60 * SECOND, List.of(backend(1)), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop,
+                new SplittableRandom(1), tap);
+        net.runFor(SECOND);
+        tap.read(0, 1, 0, ByteBuffer.allocate(1 << 18)); // more than is buffered: written at once
+        tap.read(0, 1, 0, ByteBuffer.allocate(1 << 18));
+        assertTrue(proxy.joined());
+        org.junit.jupiter.api.Assertions.assertThrows(IOException.class, tap::close);
+    }
 }
