--- a/src/test/java/rowanmoor/RecordTest.java
+++ b/src/test/java/rowanmoor/RecordTest.java
@@ -121,4 +121,51 @@
         assertEquals(1, lines.size());
         assertTrue(lines.get(0).length() < 400 && lines.get(0).endsWith("and 992 more"), lines.get(0));
     }
+
+    /** Proxies come, go, go twice and come back in another zone; the counts are those of a plain reckoning. */
+    @Test
+    void proxiesCountedAndDepartedAreWhatAPlainReckoningGives() {
+        int checked = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            java.util.Random random = new java.util.Random(seed);
+            Stand stand = new Stand(TestSettings.plain()).start(4, 6);
+            java.util.Map<Integer, Long> leftAt = new java.util.TreeMap<>(); // -1 while joined
+            for (int p = 0; p < 6; p++) {
+                leftAt.put(p, -1L);
+            }
+            int told = 0;
+            for (int round = 0; round < 40 && told < 8; round++) {
+                int p = random.nextInt(9);
+                if (leftAt.getOrDefault(p, 0L) == -1) {
+                    stand.hear(new ProxyLeft(p));
+                    leftAt.put(p, stand.now);
+                } else if (random.nextBoolean() && leftAt.containsKey(p)) {
+                    stand.hear(new ProxyLeft(p)); // once more: it counts for one lease
+                } else {
+                    stand.hear(new ControlApi.ProxyJoined(p, random.nextInt(2), 20, false));
+                    leftAt.put(p, -1L);
+                }
+                int before = logs(stand, "levels").size();
+                leftAt.forEach((proxy, at) -> {
+                    if (at == -1) {
+                        stand.usage(proxy, 0, 15);
+                        stand.usage(proxy, 1, 5);
+                    }
+                });
+                boolean calm = round < 5;
+                stand.report(4, 2, b -> calm ? 0 : 3, b -> calm ? 100 * MS : 700 * MS);
+                leftAt.values().removeIf(at -> at != -1 && stand.now - at > 10 * SECOND);
+                List<String> lines = logs(stand, "levels");
+                if (lines.size() > before) {
+                    long departed = leftAt.values().stream().filter(at -> at != -1).count();
+                    String line = lines.get(lines.size() - 1);
+                    assertTrue(line.endsWith("; " + leftAt.size() + " proxies counted, " + departed
+                            + " of them departed"), "seed " + seed + ", " + leftAt + ": " + line);
+                    checked++;
+                    told++;
+                }
+            }
+        }
+        assertTrue(checked > 80, checked + " lines checked");
+    }
 }
