--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -500,4 +500,13 @@
         assertTrue(stand.level(0, 0) > 5, "of 80 a second served in calm three quarters are let in: "
                 + stand.level(0, 0));
     }
+
+    @Test
+    void aDeadBackendGetsNothingWhereAnswersAreSlowThemselves() {
+        stand.start(8, 2);
+        for (int i = 0; i < 4; i++) {
+            stand.report(8, 2, b -> b == 2 ? 10 : 0, b -> 500 * MS);
+        }
+        assertEquals(0, stand.share(0, 0, 2), "lightened by its slow second alone it would keep half");
+    }
 }
