--- a/src/main/java/rowanmoor/ControlApi.java
+++ b/src/main/java/rowanmoor/ControlApi.java
@@ -122,7 +122,7 @@
     record ReportColumns(int queue, int busy) { }
 
     /** The rules' figures. */
-    record Rules(long bareLimit, long drainGrace, boolean goneIsAdvice, long coldFor, double coldFrom,
+    record Rules(long bareLimit, long drainGrace, long coldFor, double coldFrom,
             double fallMultiple, long fallSpan, long askWithin) {
 
         /** The least part of its capacity that a backend has by now, going by the stated ramp. */
--- a/src/main/java/rowanmoor/benchlink/SettingsParser.java
+++ b/src/main/java/rowanmoor/benchlink/SettingsParser.java
@@ -73,7 +73,7 @@
 
     private Rules rules() {
         return new Rules(time("extra.blackhole_ns"), time("rules.drain_grace_ns"),
-                optionalFlag("rules.gone_is_advice"), time("rules.cold_ns"), number("rules.cold_from"),
+                time("rules.cold_ns"), number("rules.cold_from"),
                 number("rules.overload_factor"), time("rules.fall_ns"),
                 values.containsKey("rules.must_ask_in_ns") ? time("rules.must_ask_in_ns") : Long.MAX_VALUE);
     }
@@ -121,10 +121,6 @@
         return word(key, Map.of("true", true, "false", false));
     }
 
-    private boolean optionalFlag(String key) {
-        return values.containsKey(key) && flag(key);
-    }
-
     private <T> T word(String key, Map<String, T> words) {
         T meaning = words.get(text(key));
         if (meaning == null) {
--- a/src/main/java/rowanmoor/config/Site.java
+++ b/src/main/java/rowanmoor/config/Site.java
@@ -115,7 +115,7 @@
                 c.word("effect", Map.of("safe", Effect.SAFE, "keyed", Effect.KEYED, "unsafe", Effect.UNSAFE),
                         null),
                 c.word("group", Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL), Group.ALL),
-                c.duration("window", "0s", "1h", "5s"), c.flag("write", false), c.flag("own-zone", false),
+                c.duration("window", "0s", "1h", "5s"), c.flag("write", false), false,
                 places(c, "only-zones", zones), places(c, "only-kinds", kinds));
         c.finish();
         return spec;
@@ -134,7 +134,7 @@
 
     private static Rules rules(Section r) {
         Rules rules = new Rules(r.duration("bare", "100ms", "60s"), r.duration("drain-grace", "100ms", "60s"),
-                r.flag("gone-is-advice", false), r.duration("cold", "0s", "10min"),
+                r.duration("cold", "0s", "10min"),
                 r.number("cold-from", 0.01, 1), r.number("fall-multiple", 1, 100),
                 r.duration("fall-span", "100ms", "60s"), r.duration("ask-within", "1s", "10min", "10s"));
         r.finish();
--- a/src/test/java/rowanmoor/ArithmeticTest.java
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -236,4 +236,23 @@
         }
         assertEquals(4.0 / 3, levels[1] / levels[0], 0.05, levels[0] + " and " + levels[1]);
     }
+
+    @Test
+    void aProxySilentForHoursWhileJoinedIsIdleAndCountedAndHeardAgain() {
+        stand.start(4, 4);
+        rounds(5, 0, 100 * MS);
+        for (int i = 0; i < 4000; i++) { // proxy 3 says nothing for over an hour of overload
+            for (int proxy = 0; proxy < 3; proxy++) {
+                stand.usage(proxy, 0, 15);
+                stand.usage(proxy, 1, 5);
+            }
+            stand.report(4, 2, b -> 2, b -> 700 * MS);
+            stand.all.clear();
+        }
+        rounds(1, 2, 700 * MS);
+        allFinite();
+        assertTrue(stand.level(3, 0) > 0 && stand.level(3, 0) == stand.level(0, 0), "one even level for all");
+        rounds(80, 0, 100 * MS);
+        assertTrue(stand.level(3, 0) > 1000, "level " + stand.level(3, 0));
+    }
 }
--- a/src/test/java/rowanmoor/TestSettings.java
+++ b/src/test/java/rowanmoor/TestSettings.java
@@ -57,7 +57,7 @@
             double hearsPerSecond, int busyColumn, int ejects, Channel channel) {
         return new Settings(1, 2, classes, mustAsk, false, Admission.RATE, ejects, proxies, slices, SECOND,
                 hearsPerSecond, 0.05, new ReportColumns(-1, busyColumn),
-                new Rules(3 * SECOND, 2 * SECOND, false, 10 * SECOND, 0.2, 4, 2 * SECOND, 10 * SECOND),
+                new Rules(3 * SECOND, 2 * SECOND, 10 * SECOND, 0.2, 4, 2 * SECOND, 10 * SECOND),
                 channel);
     }
 }
--- a/src/test/java/rowanmoor/proxy/RouterTest.java
+++ b/src/test/java/rowanmoor/proxy/RouterTest.java
@@ -286,4 +286,19 @@
         router.done(B, false, SECOND);
         assertEquals(Set.of(A), picks(0), "the fifth in a row does");
     }
+
+    @Test
+    void aControllerSilentForYearsSavesNoBurstUpAndTheLevelsStand() {
+        long years = 90L * 365 * 86_400 * SECOND;
+        joined();
+        update(9, 1, new Frame.Admit(rowanmoor.ControlApi.ALL_TABLES, new Frame.Level(0, 20, Retry.NEVER)));
+        admitted(router, SECOND, 2 * SECOND, 50);
+        int atOnce = admitted(router, years, years + 1000, 500);
+        assertTrue(atOnce <= 6, atOnce + " at once, a quarter of a second's");
+        int after = admitted(router, years + SECOND, years + 11 * SECOND, 5000);
+        assertTrue(after > 190 && after < 215, after + " in ten seconds at twenty");
+        Router safe = with(1, 5);
+        int fallen = admitted(safe, years, years + 10 * SECOND, 5000);
+        assertTrue(fallen > 45 && fallen < 56, fallen + " in ten seconds at the safe level of five");
+    }
 }
