--- a/src/main/java/rowanmoor/proxy/ChannelClient.java
+++ b/src/main/java/rowanmoor/proxy/ChannelClient.java
@@ -36,6 +36,7 @@
     private Connection connection;
     private Timer firstSnapshot;
     private boolean up;
+    private boolean unasked;
     private boolean stopped;
     private int streams;
 
@@ -87,6 +88,7 @@
         reader = new FrameReader(ChannelLimits.usual());
         boolean fresh = router.fresh();
         router.streamBegins();
+        unasked = false;
         send(new Frame.Hello(Frame.PROTOCOL, config.number(), incarnation, config.zone(), config.rate(),
                 fresh,
                 router.epoch(), router.version(), config.name()));
@@ -177,12 +179,19 @@
                 });
     }
 
+    /** Asks for a snapshot; one that its own full queue refuses is asked for again with the next message. */
+    private void askAnew() {
+        unasked = !send(new Frame.Resync(router.epoch(), router.version()));
+    }
+
     private void take(Frame.Update update) {
         Router.Heed heed = router.heed(update);
         if (heed == Router.Heed.GAP) {
             LOG.warn("proxy {}: version {}/{} does not follow on {}/{}", config.number(), update.epoch(),
                     update.version(), router.epoch(), router.version());
-            send(new Frame.Resync(router.epoch(), router.version()));
+            askAnew();
+        } else if (heed == Router.Heed.SKIPPED && unasked) {
+            askAnew();
         } else if (heed == Router.Heed.DONE) {
             for (Frame.Order order : update.orders()) {
                 if (order instanceof Frame.Mark mark) {
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -750,4 +750,46 @@
         assertTrue(proxy.joined());
         org.junit.jupiter.api.Assertions.assertThrows(IOException.class, tap::close);
     }
+
+    @Test
+    void aSnapshotThatAFullQueueRefusedToAskForIsAskedForAgain() throws IOException, ConfigError {
+        Connection[] stream = new Connection[1];
+        int[] asked = new int[1];
+        InetSocketAddress controller = loop.listen(ANY, Connection.Options.usual().bound(new rowanmoor.net.Bound(1 << 24,
+                1 << 20, rowanmoor.net.Bound.Policy.REFUSE)), c -> new Handler() {
+                    private final FrameReader reader = new FrameReader(ChannelLimits.usual());
+
+                    @Override
+                    public void opened(Connection its) {
+                        stream[0] = its;
+                        its.send(Codec.encode(new Frame.Snapshot(1, 0, 0, 0, List.of(), List.of(), List.of(), List.of())));
+                    }
+
+                    @Override
+                    public void received(Connection its, ByteBuffer bytes) {
+                        try {
+                            while (bytes.hasRemaining()) {
+                                asked[0] += reader.next(bytes) instanceof Frame.Resync ? 1 : 0;
+                            }
+                        } catch (ChannelError e) {
+                            throw new AssertionError(e);
+                        }
+                    }
+                }).address();
+        Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(controller), 0, 300 * MS, 600 * SECOND,
+                List.of(backend(1)), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop, new SplittableRandom(1), Tap.NONE);
+        net.runFor(SECOND);
+        for (int i = 0; i < 3000; i++) { // read in one turn: more answers than may wait
+            stream[0].send(Codec.encode(new Frame.Ping(i)));
+        }
+        stream[0].send(Codec.encode(new Frame.Update(1, 7, 0, 0, List.of())));
+        net.runFor(5 * SECOND);
+        assertEquals(0, asked[0], "its queue was full");
+        stream[0].send(Codec.encode(new Frame.Update(1, 8, 0, 0, List.of())));
+        net.runFor(SECOND);
+        assertEquals(1, asked[0]);
+        stream[0].send(Codec.encode(new Frame.Update(1, 9, 0, 0, List.of())));
+        net.runFor(SECOND);
+        assertEquals(1, asked[0], "once is enough");
+    }
 }
