--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -733,4 +733,63 @@
             assertEquals(met[0], met[3], "requests, seed " + seed);
         }
     }
+
+    @Test
+    void aTapOnAFullDiskEndsAndItsStreamGoesOn() throws IOException, ConfigError {
+        java.nio.file.Path full = java.nio.file.Path.of("/dev/full"); // every write to it fails for want of space
+        org.junit.jupiter.api.Assumptions.assumeTrue(java.nio.file.Files.exists(full));
+        TapFile tap = new TapFile(full);
+        long[] sums = new long[4];
+        InetSocketAddress controller = loop.listen(ANY, Connection.Options.usual(), c -> new Listener(sums)).address();
+        Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(controller), 0, 300 * MS,
+                60 * SECOND, List.of(backend(1)), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop,
+                new SplittableRandom(1), tap);
+        net.runFor(SECOND);
+        tap.read(0, 1, 0, ByteBuffer.allocate(1 << 18)); // more than is buffered: written at once
+        tap.read(0, 1, 0, ByteBuffer.allocate(1 << 18));
+        assertTrue(proxy.joined());
+        org.junit.jupiter.api.Assertions.assertThrows(IOException.class, tap::close);
+    }
+
+    @Test
+    void aSnapshotThatAFullQueueRefusedToAskForIsAskedForAgain() throws IOException, ConfigError {
+        Connection[] stream = new Connection[1];
+        int[] asked = new int[1];
+        InetSocketAddress controller = loop.listen(ANY, Connection.Options.usual().bound(new rowanmoor.net.Bound(1 << 24,
+                1 << 20, rowanmoor.net.Bound.Policy.REFUSE)), c -> new Handler() {
+                    private final FrameReader reader = new FrameReader(ChannelLimits.usual());
+
+                    @Override
+                    public void opened(Connection its) {
+                        stream[0] = its;
+                        its.send(Codec.encode(new Frame.Snapshot(1, 0, 0, 0, List.of(), List.of(), List.of(), List.of())));
+                    }
+
+                    @Override
+                    public void received(Connection its, ByteBuffer bytes) {
+                        try {
+                            while (bytes.hasRemaining()) {
+                                asked[0] += reader.next(bytes) instanceof Frame.Resync ? 1 : 0;
+                            }
+                        } catch (ChannelError e) {
+                            throw new AssertionError(e);
+                        }
+                    }
+                }).address();
+        Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(controller), 0, 300 * MS, 600 * SECOND,
+                List.of(backend(1)), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop, new SplittableRandom(1), Tap.NONE);
+        net.runFor(SECOND);
+        for (int i = 0; i < 3000; i++) { // read in one turn: more answers than may wait
+            stream[0].send(Codec.encode(new Frame.Ping(i)));
+        }
+        stream[0].send(Codec.encode(new Frame.Update(1, 7, 0, 0, List.of())));
+        net.runFor(5 * SECOND);
+        assertEquals(0, asked[0], "its queue was full");
+        stream[0].send(Codec.encode(new Frame.Update(1, 8, 0, 0, List.of())));
+        net.runFor(SECOND);
+        assertEquals(1, asked[0]);
+        stream[0].send(Codec.encode(new Frame.Update(1, 9, 0, 0, List.of())));
+        net.runFor(SECOND);
+        assertEquals(1, asked[0], "once is enough");
+    }
 }
