The limit on messages is judged and told only where there is one

Change: the verdict is there where a site limits messages. Conclusion: a report tells only rules that hold on its site.

--- a/src/main/java/rowanmoor/lab/Judge.java
+++ b/src/main/java/rowanmoor/lab/Judge.java
@@ -103,12 +103,16 @@
         Map<Integer, List<Evidence.Tapped>> byProxy = new TreeMap<>();
         evidence.taps().forEach(t -> byProxy.computeIfAbsent(t.proxy(), p -> new ArrayList<>()).add(t));
         byProxy.forEach(this::follow);
-        return List.of(new Verdict("no proxy without a backend", "s", rules.bareLimit() / SECOND,
-                        worstBare / SECOND, worstBare > rules.bareLimit(), firstBare.text, firstBare.at,
+        List<Verdict> all = new ArrayList<>(List.of(new Verdict("no proxy without a backend", "s",
+                        rules.bareLimit() / SECOND, worstBare / SECOND, worstBare > rules.bareLimit(), firstBare.text, firstBare.at,
                         bareMet),
-                repeats(), drains(), falls(), queue(), budget(),
+                repeats(), drains(), falls(), queue(),
                 new Verdict("messages numbered without gaps", "gaps", 0, misnumbered, misnumbered > 0,
-                        firstMisnumbered.text, firstMisnumbered.at, messages.size()));
+                        firstMisnumbered.text, firstMisnumbered.at, messages.size())));
+        if (channel.messagesMost() > 0) {
+            all.add(budget());
+        }
+        return List.copyOf(all);
     }
 
     private String time(long at) {
@@ -474,17 +478,15 @@
                         from++;
                     }
                     worst = Math.max(worst, i - from + 1);
-                    if (channel.messagesMost() > 0 && i - from + 1 > channel.messagesMost()) {
+                    if (i - from + 1 > channel.messagesMost()) {
                         long at = stay.messages.get(i);
                         first.note(at, "proxy " + stay.proxy + " at " + time(at));
                     }
                 }
             }
         }
-        boolean limited = channel.messagesMost() > 0;
-        return new Verdict("messages within their limit", "messages",
-                limited ? channel.messagesMost() : worst, worst, first.at >= 0, first.text, first.at,
-                limited ? messages.size() : 0);
+        return new Verdict("messages within their limit", "messages", channel.messagesMost(), worst,
+                first.at >= 0, first.text, first.at, messages.size());
     }
 
     /** Most lines by which arrivals over any stretch were ahead of the pace and of what the way holds. */
