--- a/src/main/java/rowanmoor/lab/Judge.java
+++ b/src/main/java/rowanmoor/lab/Judge.java
@@ -104,8 +104,8 @@
         evidence.taps().forEach(t -> byProxy.computeIfAbsent(t.proxy(), p -> new ArrayList<>()).add(t));
         byProxy.forEach(this::follow);
         List<Verdict> all = new ArrayList<>(List.of(new Verdict("no proxy without a backend", "s",
-                        rules.bareLimit() / SECOND, worstBare / SECOND, worstBare > rules.bareLimit(), firstBare.text, firstBare.at,
-                        bareMet),
+                        rules.bareLimit() / SECOND, worstBare / SECOND, worstBare > rules.bareLimit(),
+                        firstBare.text, firstBare.at, bareMet),
                 repeats(), drains(), falls(), queue(),
                 new Verdict("messages numbered without gaps", "gaps", 0, misnumbered, misnumbered > 0,
                         firstMisnumbered.text, firstMisnumbered.at, messages.size())));
