Letting a machine go books no lines that nobody is sent

Lines at fault: Logic.forgetGone. Change: the order goes out for whoever keeps books of withdrawals, and is booked at no proxy. Tests: lettingAMachineGoBooksNothingThatNobodyIsSent fails without it.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -761,8 +761,7 @@
                 all.forEach(p -> p.remove(backend));
                 if (all.stream().noneMatch(p -> p.sent.containsKey(backend))) {
                     backends.remove(backend);
-                    order(new Withdraw(backend, false), proxies.values().stream()
-                            .filter(p -> p.joined).toList());
+                    actions.add(new Withdraw(backend, false)); // for whoever keeps books: no table has it
                 }
             }
         }
--- a/src/test/java/rowanmoor/GrowthTest.java
+++ b/src/test/java/rowanmoor/GrowthTest.java
@@ -39,6 +39,20 @@
         assertTrue(stand.share(0, 0, 602) > 0.1, "the newest are used");
     }
 
+    @Test
+    void lettingAMachineGoBooksNothingThatNobodyIsSent() {
+        Stand stand = new Stand(TestSettings.plain()).start(4, 2);
+        stand.hear(new Members(ListKind.DELTA, 2, List.of(Stand.member(0, 0, Listed.GONE, 0))));
+        boolean let = false;
+        for (int i = 0; i < 140 && !let; i++) {
+            stand.second();
+            let = stand.last.contains(new ControlApi.Withdraw(Stand.backend(0), false));
+        }
+        assertTrue(let, "it is let go");
+        assertTrue(stand.last.stream().noneMatch(ControlApi.Mark.class::isInstance),
+                "a mark that no message carries is answered by nobody: its lines would wait for good");
+    }
+
     @Test
     void aMarkAnsweredTwiceFreesItsPartOnce() {
         Fleet.Sent sent = new Fleet.Sent();
