Tested: one class, and a list only after the first join

Change: a test alone. Conclusion: it held; the proxy has its lines with the list, and levels stay between the floor and what it asks.

--- a/src/test/java/rowanmoor/ArithmeticTest.java
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -138,6 +138,23 @@
         assertEquals(1, stand.share(0, 0, 0), 1e-9);
     }
 
+    @Test
+    void oneClassAndAListOnlyAfterTheFirstJoin() {
+        Stand one = new Stand(TestSettings.with(List.of(TestSettings.spec(ControlApi.Effect.SAFE, 1,
+                java.util.Set.of())), false, 0, 0));
+        one.hear(new ProxyJoined(0, 0, 20, true));
+        one.second();
+        one.hear(new Members(ListKind.FULL, 1, List.of(Stand.member(0, 0, Listed.READY, 0),
+                Stand.member(1, 1, Listed.READY, 0))));
+        for (int i = 0; i < 20; i++) {
+            boolean calm = i < 6;
+            one.usage(0, 0, 60);
+            one.report(2, 2, b -> calm ? 0 : 3, b -> calm ? 100 * MS : 700 * MS);
+        }
+        assertEquals(1, one.share(0, 0, 0) + one.share(0, 0, 1), 1e-9);
+        assertTrue(one.level(0, 0) > 6 && one.level(0, 0) < 60, "level " + one.level(0, 0));
+    }
+
     @Test
     void theLastProxyLeavesUnderOverloadAndAnotherIsLetInWhole() {
         stand.start(4, 4);
