--- a/src/main/java/rowanmoor/benchlink/Link.java
+++ b/src/main/java/rowanmoor/benchlink/Link.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import rowanmoor.ControlApi.Action;
 import rowanmoor.Logic;
+import rowanmoor.settings.SettingsReader;
 
 /** The loop: one batch in, one reply out, a {@link Logic} for each instance. Translates only. */
 public final class Link {
@@ -65,7 +66,7 @@
     private void take(Reader.Item item, long now, TreeSet<Long> concerned, Writer writer) {
         if (item instanceof Reader.Launch launch) {
             // Settings are read outside the try: bad ones are the input's fault, not the decision code's.
-            var settings = SettingsParser.parse(launch.setup());
+            var settings = SettingsReader.ofLines(launch.setup());
             guard(launch.who(), writer, () ->
                     instances.put(launch.who(), new Logic(settings, launch.seed())));
             concerned.add(launch.who());
--- a/src/main/java/rowanmoor/benchlink/package-info.java
+++ b/src/main/java/rowanmoor/benchlink/package-info.java
@@ -1,2 +1,2 @@
-/** Runs the decision module on the bench's wire: codec, settings parser and loop. Decides nothing. */
+/** Runs the decision module on the bench's wire: codec and loop. Decides nothing. */
 package rowanmoor.benchlink;
--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -35,6 +35,7 @@
 import rowanmoor.lab.ProxyLoad;
 import rowanmoor.lab.Report;
 import rowanmoor.net.Loop;
+import rowanmoor.platform.Serve;
 import rowanmoor.proxy.Proxy;
 import rowanmoor.proxy.ProxyConfig;
 import rowanmoor.proxy.Tap;
@@ -101,6 +102,11 @@
         return Main.benchlink(System.in, System.out, System.err);
     }
 
+    @Command(name = "serve", description = "Runs one controller of the platform, as GW_CONFIG says.")
+    int serve() {
+        return Serve.run(System.getenv(), System.err);
+    }
+
     @Command(name = "check", description = "Reads settings and days, and tells everything that is wrong.")
     int check(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files) throws IOException {
         List<String> problems = new ArrayList<>();
--- a/src/main/java/rowanmoor/cli/Main.java
+++ b/src/main/java/rowanmoor/cli/Main.java
@@ -7,19 +7,23 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import rowanmoor.benchlink.Link;
+import rowanmoor.platform.Serve;
 
 /**
- * Where the program starts. The bench's adapter is started here, without a library; all else is picocli's,
- * in {@link Commands}.
+ * Where the program starts. The bench's adapter and the platform's controller are started here, without
+ * picocli and Logback, whose start they need not wait for; all else is picocli's, in {@link Commands}.
  */
 public final class Main {
 
     private Main() { }
 
     public static void main(String[] args) {
-        System.exit(args.length == 1 && args[0].equals("benchlink") ? benchlink(System.in, System.out,
-                System.err)
-                : Commands.run(args));
+        String only = args.length == 1 ? args[0] : "";
+        System.exit(switch (only) {
+            case "benchlink" -> benchlink(System.in, System.out, System.err);
+            case "serve" -> Serve.run(System.getenv(), System.err);
+            default -> Commands.run(args);
+        });
     }
 
     /** Decides on the bench's wire until the input ends; answers the exit code. */
--- a/src/main/java/rowanmoor/controller/Controller.java
+++ b/src/main/java/rowanmoor/controller/Controller.java
@@ -21,9 +21,11 @@
 import rowanmoor.capture.LoadRecord;
 import rowanmoor.channel.Frame;
 import rowanmoor.config.ControllerConfig;
+import rowanmoor.discovery.Addresses;
 import rowanmoor.discovery.LoadColumns;
 import rowanmoor.discovery.Prober;
 import rowanmoor.discovery.RosterClient;
+import rowanmoor.http.Orca;
 import rowanmoor.net.Bound;
 import rowanmoor.net.Connection;
 import rowanmoor.net.Loop;
@@ -78,8 +80,9 @@
                     members.entries().forEach(this::captureListed);
                     tickSoon();
                 }, text -> LOG.warn("roster {}", kv("what", text)));
+        LoadColumns columns = new LoadColumns(config.site().columns());
         this.prober = new Prober(loop, config.probePath(), config.probeWithin(), config.probesAtOnce(),
-                new LoadColumns(config.site().columns()), probed -> {
+                Addresses::socket, answer -> columns.read(answer.fields().get(Orca.FIELD)), probed -> {
                     driver.hearProbe(probed);
                     tickSoon();
                 });
--- a/src/main/java/rowanmoor/discovery/Prober.java
+++ b/src/main/java/rowanmoor/discovery/Prober.java
@@ -1,14 +1,16 @@
 package rowanmoor.discovery;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Probed;
 import rowanmoor.http.ClientConnection;
 import rowanmoor.http.Limits;
 import rowanmoor.http.Message;
-import rowanmoor.http.Orca;
 import rowanmoor.net.Close;
 import rowanmoor.net.Connection;
 import rowanmoor.net.Loop;
@@ -29,18 +31,24 @@
     private final String path;
     private final long within;
     private final int atOnce;
-    private final LoadColumns columns;
+    private final Function<Backend, InetSocketAddress> where;
+    private final Function<Message.Response, List<Double>> load;
     private final Consumer<Probed> told;
     private final LinkedHashSet<Backend> waiting = new LinkedHashSet<>();
     private final ArrayDeque<Backend> working = new ArrayDeque<>();
 
-    public Prober(Loop loop, String path, long within, int atOnce, LoadColumns columns,
-            Consumer<Probed> told) {
+    /**
+     * @param where a backend's address now, or null if it has none
+     * @param load an answer's load report, or nothing
+     */
+    public Prober(Loop loop, String path, long within, int atOnce, Function<Backend, InetSocketAddress> where,
+            Function<Message.Response, List<Double>> load, Consumer<Probed> told) {
         this.loop = loop;
         this.path = path;
         this.within = within;
         this.atOnce = atOnce;
-        this.columns = columns;
+        this.where = where;
+        this.load = load;
         this.told = told;
     }
 
@@ -61,27 +69,33 @@
 
     private void ask(Backend backend) {
         long from = loop.now();
-        ClientConnection connection = ClientConnection.open(loop, null, Addresses.socket(backend),
+        InetSocketAddress at = where.apply(backend);
+        if (at == null) {
+            loop.after(0, () -> done(new Probed(backend, false, DOWN, 0, List.of())));
+            return;
+        }
+        ClientConnection connection = ClientConnection.open(loop, null, at,
                 Connection.Options.usual().connectWithin(within), Limits.usual().body(BODY_MOST), c -> { });
         Timer patience = loop.after(within, () -> {
             connection.cancel();
-            done(new Probed(backend, false, TIMEOUT, loop.now() - from, java.util.List.of()));
+            done(new Probed(backend, false, TIMEOUT, loop.now() - from, List.of()));
         });
-        connection.ask(Message.Request.get(path, "Host", backend.toString(), "Connection", "close"),
+        connection.ask(Message.Request.get(path, "Host", at.getHostString() + ":" + at.getPort(),
+                "Connection", "close"),
                 new ClientConnection.Answer() {
                     @Override
                     public void answered(Message.Response response) {
                         patience.cancel();
                         int status = response.status() == 200 ? OK : response.status() == 503 ? FULL : ERROR;
                         done(new Probed(backend, status == OK, status, loop.now() - from,
-                                columns.read(response.fields().get(Orca.FIELD))));
+                                load.apply(response)));
                     }
 
                     @Override
                     public void failed(boolean neverRan, Close why, String detail) {
                         patience.cancel();
                         int status = why == Close.CONNECT_TIMEOUT ? TIMEOUT : neverRan ? DOWN : BROKEN;
-                        done(new Probed(backend, false, status, loop.now() - from, java.util.List.of()));
+                        done(new Probed(backend, false, status, loop.now() - from, List.of()));
                     }
                 });
     }
--- a/src/main/java/rowanmoor/controller/TableStore.java
+++ b/src/main/java/rowanmoor/host/TableStore.java
@@ -1,4 +1,4 @@
-package rowanmoor.controller;
+package rowanmoor.host;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +11,7 @@
 import rowanmoor.channel.Frame;
 
 /** All tables, levels and withdrawals as ordered so far. */
-final class TableStore {
+public final class TableStore {
 
     private static final class Table {
         private final TreeMap<Backend, Double> lines = new TreeMap<>();
@@ -22,7 +22,7 @@
     private final TreeMap<Integer, Table> tables = new TreeMap<>();
     private final TreeSet<Backend> withdrawn = new TreeSet<>();
 
-    TableStore(int classes) {
+    public TableStore(int classes) {
         this.classes = classes;
     }
 
@@ -31,7 +31,7 @@
     }
 
     /** Weight 0 removes the line. */
-    void setLine(int number, Backend backend, double weight) {
+    public void setLine(int number, Backend backend, double weight) {
         if (weight > 0) {
             table(number).lines.put(backend, weight);
         } else {
@@ -39,7 +39,7 @@
         }
     }
 
-    void withdraw(Backend backend, boolean out) {
+    public void withdraw(Backend backend, boolean out) {
         if (out) {
             withdrawn.add(backend);
         } else {
@@ -47,7 +47,7 @@
         }
     }
 
-    void admit(int number, Admit admit) {
+    public void admit(int number, Admit admit) {
         Map<Integer, Frame.Level> levels = table(number).levels;
         for (int c = 0; c < classes; c++) {
             if (admit.classes() == 0 || (admit.classes() >> c & 1) == 1) {
@@ -56,27 +56,27 @@
         }
     }
 
-    boolean holds(int number, Backend backend) {
+    public boolean holds(int number, Backend backend) {
         return tables.containsKey(number) && tables.get(number).lines.containsKey(backend);
     }
 
-    Frame.Table whole(int number) {
+    public Frame.Table whole(int number) {
         Table table = table(number);
         List<Frame.Line> lines = new ArrayList<>();
         table.lines.forEach((backend, weight) -> lines.add(new Frame.Line(backend, weight)));
         return new Frame.Table(number, List.copyOf(lines), List.copyOf(table.levels.values()));
     }
 
-    List<Backend> withdrawnOf(int number) {
+    public List<Backend> withdrawnOf(int number) {
         return table(number).lines.keySet().stream().filter(withdrawn::contains).toList();
     }
 
     /** The weights ordered for a table; for readers outside the wire. */
-    Map<Backend, Double> lines(int number) {
+    public Map<Backend, Double> lines(int number) {
         return Map.copyOf(table(number).lines);
     }
 
-    static Frame.Level level(Admit admit, int classCount) {
+    public static Frame.Level level(Admit admit, int classCount) {
         int set = admit.classes() == 0 ? (1 << classCount) - 1 : admit.classes();
         Retry retry = admit.retry();
         return new Frame.Level(set, admit.level(), retry);
--- a/src/main/java/rowanmoor/lab/ResultStore.java
+++ b/src/main/java/rowanmoor/lab/ResultStore.java
@@ -29,7 +29,8 @@
             Emulator.class);
     private static final List<String> MORE = List.of("/rowanmoor/Fleet.class", "/rowanmoor/Fleet$Path.class",
             "/rowanmoor/controller/Intake.class", "/rowanmoor/controller/Outbox.class",
-            "/rowanmoor/controller/TableStore.class", "/rowanmoor/emulator/Station.class",
+            "/rowanmoor/host/TableStore.class", "/rowanmoor/host/Turns.class",
+            "/rowanmoor/host/Fanout.class", "/rowanmoor/emulator/Station.class",
             "/rowanmoor/emulator/Agenda.class", "/rowanmoor/emulator/Model.class");
 
     private final MVStore store;
--- /dev/null
+++ b/src/main/java/rowanmoor/platform/Json.java
@@ -0,0 +1,70 @@
+package rowanmoor.platform;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** JSON as maps, lists, texts, numbers and truths. The parser's core only: its data binding starts slowly. */
+final class Json {
+
+    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final int DEPTH_MOST = 32;
+
+    private Json() { }
+
+    /** One object and nothing after it. */
+    static Map<String, Object> object(byte[] bytes, int from, int length) throws IOException {
+        try (JsonParser parser = FACTORY.createParser(bytes, from, length)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("not a JSON object");
+            }
+            Map<String, Object> object = fields(parser, 0);
+            if (parser.nextToken() != null) {
+                throw new IOException("something comes after the JSON object");
+            }
+            return object;
+        }
+    }
+
+    private static Map<String, Object> fields(JsonParser parser, int depth) throws IOException {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String name = parser.currentName();
+            parser.nextToken();
+            fields.put(name, value(parser, depth + 1));
+        }
+        return fields;
+    }
+
+    private static Object value(JsonParser parser, int depth) throws IOException {
+        if (depth > DEPTH_MOST) {
+            throw new IOException("JSON nested more than " + DEPTH_MOST + " deep");
+        }
+        JsonToken token = parser.currentToken();
+        if (token == null) {
+            throw new IOException("the JSON ends too soon");
+        }
+        return switch (token) {
+            case START_OBJECT -> fields(parser, depth);
+            case START_ARRAY -> {
+                List<Object> items = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    items.add(value(parser, depth + 1));
+                }
+                yield items;
+            }
+            case VALUE_NUMBER_INT -> parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                    ? (Object) parser.getDoubleValue() : (Object) parser.getLongValue();
+            case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
+            case VALUE_TRUE -> Boolean.TRUE;
+            case VALUE_FALSE -> Boolean.FALSE;
+            case VALUE_NULL -> "";
+            default -> parser.getText();
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/platform/Peer.java
@@ -0,0 +1,160 @@
+package rowanmoor.platform;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.List;
+import rowanmoor.net.Close;
+import rowanmoor.net.Connection;
+import rowanmoor.net.Handler;
+import rowanmoor.net.Loop;
+import rowanmoor.net.Timer;
+import rowanmoor.resp.RespError;
+import rowanmoor.resp.RespReader;
+import rowanmoor.resp.RespWriter;
+
+/**
+ * One connection at the controller's address. States: stranger (neither joined nor named a zone), proxy,
+ * collector, over. Whatever its peer does wrong costs this connection alone.
+ */
+final class Peer implements Handler {
+
+    /** What the service does with what peers bring. */
+    interface Owner {
+
+        /** A message; throws if it makes no sense. */
+        void heard(Peer peer, List<String> parts) throws Spoilt;
+
+        /** A spoilt message of a proxy or collector: it alone is dropped. */
+        void dropped(Peer peer, Spoilt why);
+
+        void over(Peer peer, String why);
+    }
+
+    /** What it turned out to be. */
+    enum Role { STRANGER, PROXY, COLLECTOR }
+
+    private static final int STRANGER_BYTES = 4096;
+    private static final int PARTS_MOST = 256;
+    private static final int MARKS_KEPT = 512;
+
+    private final Loop loop;
+    private final Owner owner;
+    private final long joinWithin;
+    private final RespReader reader = new RespReader(STRANGER_BYTES, PARTS_MOST);
+    private final ArrayDeque<Integer> marks = new ArrayDeque<>();
+    private Connection connection;
+    private Timer patience;
+    private Role role = Role.STRANGER;
+    private int number = -1;
+    private boolean fresh;
+    private boolean over;
+
+    Peer(Loop loop, Owner owner, long joinWithin) {
+        this.loop = loop;
+        this.owner = owner;
+        this.joinWithin = joinWithin;
+    }
+
+    Role role() {
+        return role;
+    }
+
+    /** The proxy's number, or the collector's zone. */
+    int number() {
+        return number;
+    }
+
+    /** Whether it held no ordered table when it joined, and so shuts nothing out. */
+    boolean fresh() {
+        return fresh;
+    }
+
+    /** From now on it is one of ours. */
+    void is(Role itsRole, int itsNumber, boolean isFresh) {
+        role = itsRole;
+        number = itsNumber;
+        fresh = isFresh;
+        patience.cancel();
+        reader.allow(RespReader.MESSAGE_MOST);
+    }
+
+    /** Remembers a mark that this stream was given. */
+    void marked(int mark) {
+        marks.add(mark);
+        if (marks.size() > MARKS_KEPT) {
+            marks.poll();
+        }
+    }
+
+    /** Whether this stream was given the mark and has not answered it yet. */
+    boolean answers(int mark) {
+        return marks.remove(mark);
+    }
+
+    @Override
+    public void opened(Connection its) {
+        connection = its;
+        patience = loop.after(joinWithin, () -> end("it has not joined"));
+    }
+
+    @Override
+    public void received(Connection its, ByteBuffer bytes) {
+        try {
+            while (bytes.hasRemaining() && connection.isOpen()) {
+                List<String> parts = reader.next(bytes);
+                if (parts != null) {
+                    take(parts);
+                }
+            }
+        } catch (RespError e) {
+            end(e.getMessage());
+        }
+    }
+
+    private void take(List<String> parts) {
+        try {
+            owner.heard(this, parts);
+        } catch (Spoilt e) {
+            if (role == Role.STRANGER) {
+                end(e.getMessage());
+            } else {
+                owner.dropped(this, e);
+            }
+        }
+    }
+
+    void send(List<String> message) {
+        connection.send(RespWriter.encode(message));
+    }
+
+    /** Says why, but to a collector, and ends. */
+    void end(String why) {
+        if (connection.isOpen()) {
+            if (role != Role.COLLECTOR) {
+                send(List.of("error", "reason", why));
+            }
+            connection.end();
+            over(why);
+        }
+    }
+
+    /** Closes at once. */
+    void drop(String why) {
+        connection.close(Close.LOCAL, why);
+    }
+
+    @Override
+    public void closed(Connection its, Close why, String detail) {
+        over(why + ": " + detail);
+    }
+
+    private void over(String why) {
+        if (!over) {
+            over = true;
+            if (patience != null) {
+                patience.cancel();
+            }
+            owner.over(this, why);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rowanmoor/platform/Service.java
@@ -0,0 +1,383 @@
+package rowanmoor.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import rowanmoor.ControlApi.Action;
+import rowanmoor.ControlApi.Applied;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Log;
+import rowanmoor.ControlApi.Members;
+import rowanmoor.ControlApi.Probe;
+import rowanmoor.ControlApi.ProxyJoined;
+import rowanmoor.ControlApi.ProxyLeft;
+import rowanmoor.ControlApi.Settings;
+import rowanmoor.ControlApi.Tally;
+import rowanmoor.ControlApi.Usage;
+import rowanmoor.ControlApi.Watch;
+import rowanmoor.ControlApi.Withdraw;
+import rowanmoor.channel.Frame;
+import rowanmoor.discovery.Prober;
+import rowanmoor.host.Fanout;
+import rowanmoor.host.Turns;
+import rowanmoor.net.Bound;
+import rowanmoor.net.Connection;
+import rowanmoor.net.Loop;
+import rowanmoor.net.Timer;
+
+/** One real controller of the platform: a module on one loop, with its peers, its catalog and its probes. */
+final class Service implements Peer.Owner, Catalog.Owner {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long JOIN_WITHIN = 900 * MILLI;
+    private static final long PROBE_WITHIN = 500 * MILLI;
+    private static final int PROBES_AT_ONCE = 8;
+    /** Descriptors kept back: the JVM's own, the catalog's two, probes, and the listener. */
+    private static final int KEPT_BACK = 48 + PROBES_AT_ONCE;
+    private static final int STRANGERS_LEAST = 8;
+    private static final int COLLECTORS_A_ZONE = 3;
+    private static final long UNREAD_MOST = 128 << 10;
+    private static final int MESSAGES_UNREAD_MOST = 8192;
+    private static final long STATS_EVERY = 5_000 * MILLI;
+    private static final long TROUBLES_A_SECOND = 5;
+
+    private final PlatformConfig config;
+    private final Loop loop;
+    private final LongSupplier wall;
+    private final Consumer<String> log;
+    private final Settings settings;
+    private final Messages messages;
+    private final Names names = new Names();
+    private final CatalogView view;
+    private final Fanout fanout;
+    private final Turns turns;
+    private final Translator translator;
+    private final Catalog catalog;
+    private final Prober prober;
+    private final Loop.Listener listener;
+    private final Map<Integer, Peer> proxies = new HashMap<>();
+    private final TreeMap<Integer, ArrayDeque<Peer>> collectors = new TreeMap<>();
+    private final LinkedHashSet<Peer> strangers = new LinkedHashSet<>();
+    private int open;
+    private Timer tick;
+    private long tickAt = Long.MAX_VALUE;
+    private long lastTick = Long.MIN_VALUE / 2;
+    private long troubleSecond;
+    private long troublesTold;
+    private long spoilt;
+    private long turnedAway;
+    private long decides;
+    private long decideTime;
+    private long longestDecide;
+
+    /**
+     * Listens at once; answers as soon as the loop turns.
+     *
+     * @param wall milliseconds since 1970
+     */
+    Service(PlatformConfig config, Loop loop, LongSupplier wall, Consumer<String> log) throws IOException {
+        this.config = config;
+        this.loop = loop;
+        this.wall = wall;
+        this.log = log;
+        this.settings = config.told().settings();
+        this.messages = new Messages(config.told());
+        this.view = new CatalogView(config.told(), names);
+        this.fanout = new Fanout(settings.classes().size());
+        this.turns = new Turns(settings, config.seed(), System::nanoTime);
+        this.translator = new Translator(config.told().classes(), names, fanout);
+        this.listener = loop.listen(config.listen(), Connection.Options.usual()
+                .bound(new Bound(UNREAD_MOST, MESSAGES_UNREAD_MOST, Bound.Policy.CLOSE)), c -> accept());
+        this.catalog = new Catalog(loop, config.discovery(), config.seed(), this);
+        this.prober = new Prober(loop, config.told().columns().isEmpty() ? "/ping" : "/_load", PROBE_WITHIN,
+                PROBES_AT_ONCE, names::address, answer -> load(answer.body()), probed -> {
+                    if (fanout.knows(probed.backend())) {
+                        turns.hearProbe(probed);
+                        tickSoon();
+                    }
+                });
+        takeKnown();
+        if (!settings.mustAsk()) {
+            catalog.follow();
+        }
+        tickSoon();
+        loop.after(STATS_EVERY, this::stats);
+        log.accept(config.name() + " listens at " + listener.address() + ", " + names.count()
+                + " instances known, catalog at " + config.discovery());
+    }
+
+    InetSocketAddress address() {
+        return listener.address();
+    }
+
+    private void takeKnown() {
+        try {
+            tell(config.known(), true);
+        } catch (IOException e) {
+            log.accept("known list not used: " + e.getMessage());
+            turns.hearList(new Members(ListKind.CACHED, 0, List.of()));
+        }
+    }
+
+    private List<Double> load(byte[] body) {
+        try {
+            return Messages.load("load report", new String(body, StandardCharsets.UTF_8).trim(), "=",
+                    config.told().columns());
+        } catch (Spoilt e) {
+            spoilt++;
+            trouble(e.getMessage());
+            return List.of();
+        }
+    }
+
+    /** One line of trouble; so many a second, the rest is only counted. */
+    private void trouble(String what) {
+        long second = loop.now() / (1000 * MILLI);
+        if (second != troubleSecond) {
+            troubleSecond = second;
+            troublesTold = 0;
+        }
+        if (troublesTold++ < TROUBLES_A_SECOND) {
+            log.accept(what);
+        }
+    }
+
+    // ---- peers ---------------------------------------------------------------------------------------
+
+    private Peer accept() {
+        // Real peers say who they are at once: who has been silent longest goes first.
+        while (!strangers.isEmpty() && (open >= config.sockets() - KEPT_BACK
+                || strangers.size() >= Math.max(STRANGERS_LEAST, config.sockets() / 2))) {
+            Peer oldest = strangers.iterator().next();
+            turnedAway++;
+            oldest.drop("too many that have not joined");
+        }
+        Peer peer = new Peer(loop, this, JOIN_WITHIN);
+        strangers.add(peer);
+        open++;
+        return peer;
+    }
+
+    @Override
+    public void heard(Peer peer, List<String> parts) throws Spoilt {
+        Message message = messages.read(parts);
+        if (message instanceof Message.Probe) {
+            peer.send(List.of("alive"));
+        } else if (message instanceof Message.Hello hello) {
+            expect(peer, Peer.Role.STRANGER, "hello");
+            join(peer, hello);
+        } else if (message instanceof Message.Agent agent) {
+            expect(peer, Peer.Role.STRANGER, "agent");
+            collect(peer, agent.zone());
+        } else if (message instanceof Message.Ack ack) {
+            expect(peer, Peer.Role.PROXY, "ack");
+            if (ack.proxy() != peer.number() || !peer.answers(ack.mark())) {
+                throw new Spoilt("ack node or nonce: not this stream's");
+            }
+            turns.hearStream(new Applied(ack.proxy(), ack.mark(), ack.latency()));
+            tickSoon();
+        } else {
+            report(peer, message);
+        }
+    }
+
+    private static void expect(Peer peer, Peer.Role role, String kind) throws Spoilt {
+        if (peer.role() != role) {
+            throw new Spoilt(kind + ": not from a " + peer.role().name().toLowerCase(java.util.Locale.ROOT));
+        }
+    }
+
+    private void join(Peer peer, Message.Hello hello) {
+        strangers.remove(peer);
+        Peer old = proxies.get(hello.proxy());
+        if (old != null) {
+            left(old);
+            old.drop("the same proxy has joined again");
+        }
+        peer.is(Peer.Role.PROXY, hello.proxy(), hello.fresh());
+        proxies.put(hello.proxy(), peer);
+        fanout.join(hello.proxy());
+        turns.hearStream(new ProxyJoined(hello.proxy(), hello.zone(), hello.rate(), hello.fresh()));
+        tickSoon();
+    }
+
+    private void collect(Peer peer, int zone) {
+        strangers.remove(peer);
+        peer.is(Peer.Role.COLLECTOR, zone, false);
+        ArrayDeque<Peer> ofZone = collectors.computeIfAbsent(zone, z -> new ArrayDeque<>());
+        ofZone.add(peer);
+        if (ofZone.size() > COLLECTORS_A_ZONE) {
+            ofZone.peek().drop("newer collectors of its zone have come");
+        }
+    }
+
+    private void report(Peer peer, Message message) throws Spoilt {
+        if (peer.role() == Peer.Role.STRANGER) {
+            throw new Spoilt("a report from one that has not joined");
+        }
+        if (message instanceof Message.Outcomes o) {
+            Backend backend = names.known(o.instance());
+            if (backend == null || !fanout.knows(backend)) {
+                throw new Spoilt("outcomes endpoint: unknown: " + Messages.cut(o.instance()));
+            }
+            turns.hearReport(new Tally(backend, o.zone(), o.tries(), o.failed(), o.latency(), o.span(),
+                    o.load()));
+        } else if (message instanceof Message.Demand d) {
+            turns.hearReport(new Usage(d.proxy(), d.cls(), d.requests(), d.failed(), d.span()));
+        }
+        tickSoon();
+    }
+
+    @Override
+    public void dropped(Peer peer, Spoilt why) {
+        spoilt++;
+        trouble("dropped: " + why.getMessage());
+    }
+
+    @Override
+    public void over(Peer peer, String why) {
+        open--;
+        switch (peer.role()) {
+            case STRANGER -> strangers.remove(peer);
+            case COLLECTOR -> collectors.get(peer.number()).remove(peer);
+            case PROXY -> left(peer);
+        }
+        if (peer.role() != Peer.Role.STRANGER) {
+            trouble(peer.role() + " " + peer.number() + " over: " + why);
+        }
+    }
+
+    private void left(Peer peer) {
+        if (proxies.remove(peer.number(), peer)) {
+            fanout.leave(peer.number());
+            turns.hearStream(new ProxyLeft(peer.number()));
+            tickSoon();
+        }
+    }
+
+    // ---- catalog -------------------------------------------------------------------------------------
+
+    @Override
+    public long generation() {
+        return view.generation();
+    }
+
+    @Override
+    public void take(Map<String, Object> object) throws IOException {
+        tell(object, false);
+    }
+
+    private void tell(Map<String, Object> object, boolean known) throws IOException {
+        List<String> problems = new ArrayList<>();
+        Members members = view.take(loop.now(), wall.getAsLong(), object, known, problems);
+        problems.forEach(p -> trouble("catalog: " + p));
+        if (members != null) {
+            fanout.hearList(members);
+            turns.hearList(members);
+            tickSoon();
+        }
+    }
+
+    @Override
+    public boolean broken(String why) {
+        trouble("catalog: watch over: " + why);
+        if (settings.mustAsk()) {
+            turns.hearList(new Members(ListKind.FAILED, view.generation(), List.of()));
+            tickSoon();
+        }
+        return !settings.mustAsk();
+    }
+
+    /** A new configuration: a changed catalog is followed; all else holds from the next start. */
+    void reload(PlatformConfig other) {
+        log.accept("configuration read again, catalog at " + other.discovery());
+        catalog.moveTo(other.discovery());
+    }
+
+    // ---- turns ---------------------------------------------------------------------------------------
+
+    /** Turns keep the stated distance; what comes meanwhile is decided on at once. */
+    private void tickSoon() {
+        tickBy(Math.max(loop.now(), lastTick + config.told().tick()));
+    }
+
+    private void tickBy(long time) {
+        if (time < tickAt) {
+            if (tick != null) {
+                tick.cancel();
+            }
+            tickAt = time;
+            tick = loop.at(time, this::tickNow);
+        }
+    }
+
+    private void tickNow() {
+        tickAt = Long.MAX_VALUE;
+        lastTick = loop.now();
+        try {
+            Turns.Turn turn = turns.turn(lastTick);
+            if (turn != null) {
+                decides++;
+                decideTime += turn.took();
+                longestDecide = Math.max(longestDecide, turn.took());
+                carryOut(turn.actions());
+            }
+        } finally { // whatever a turn throws, the next one is due
+            long next = turns.nextAt();
+            if (next != Long.MAX_VALUE) {
+                tickBy(Math.max(next, lastTick + config.told().tick()));
+            }
+        }
+    }
+
+    private void carryOut(List<Action> actions) {
+        fanout.messages(actions).forEach(this::write);
+        for (Action action : actions) {
+            if (action instanceof Probe a) {
+                prober.probe(a.backend());
+            } else if (action instanceof Watch a && a.on()) {
+                catalog.follow();
+            } else if (action instanceof Log a) {
+                log.accept(names.named(a.text()));
+            } else if (action instanceof Withdraw a && !a.out() && !fanout.knows(a.backend())) {
+                view.forget(a.backend());
+            }
+        }
+    }
+
+    private void write(int proxy, List<Frame.Order> orders) {
+        Peer peer = proxies.get(proxy);
+        if (peer != null) {
+            for (Frame.Order order : orders) {
+                if (order instanceof Frame.Mark mark) {
+                    peer.marked(mark.number());
+                }
+            }
+            translator.push(proxy, orders, List.of()).forEach(peer::send);
+        }
+    }
+
+    private void stats() {
+        Runtime runtime = Runtime.getRuntime();
+        log.accept("stats: " + proxies.size() + " proxies, " + strangers.size() + " strangers, " + open
+                + " open, " + names.count() + " names, " + view.remembered() + " listed, " + spoilt
+                + " spoilt, " + turnedAway + " turned away, " + decides + " decides of mean "
+                + decideTime / Math.max(1, decides) / 1000 + " us, longest " + longestDecide / 1000
+                + " us, heap "
+                + (runtime.totalMemory() - runtime.freeMemory()) / 1024 + " KiB");
+        decides = 0;
+        decideTime = 0;
+        longestDecide = 0;
+        loop.after(STATS_EVERY, this::stats);
+    }
+}
--- a/src/main/java/rowanmoor/benchlink/SettingsParser.java
+++ b/src/main/java/rowanmoor/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package rowanmoor.benchlink;
+package rowanmoor.settings;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -17,31 +17,73 @@
 import rowanmoor.ControlApi.Settings;
 
 /**
- * Turns the path=value lines of an instance's start into {@link Settings}. Keys it does not know are
- * skipped.
+ * Turns what an instance is told at its start into {@link Settings}: the path=value lines of the bench, or
+ * the platform's nested object, flattened to the same paths. Keys it does not know are skipped.
  */
-final class SettingsParser {
+public final class SettingsReader {
 
-    private final Map<String, String> values = new HashMap<>();
+    /**
+     * The settings, and the names that the platform's messages use where the module counts.
+     *
+     * @param columns names of the load report's figures, in the settings' own words
+     * @param tick least time between two decisions, ns
+     */
+    public record Told(Settings settings, List<String> zones, List<String> kinds, List<String> classes,
+            List<String> columns, long tick) { }
 
-    private SettingsParser(String text) {
+    private final Map<String, String> values;
+
+    private SettingsReader(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** Reads path=value lines. */
+    public static Settings ofLines(String text) {
+        Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             int equals = line.indexOf('=');
             if (equals > 0) {
                 values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
             }
         }
-    }
-
-    static Settings parse(String text) {
-        return new SettingsParser(text).settings();
+        return new SettingsReader(values).settings();
+    }
+
+    /** Reads a nested object of maps, lists, texts, numbers and truths. */
+    public static Told ofTree(Map<String, Object> tree) {
+        Map<String, String> values = new HashMap<>();
+        tree.forEach((key, value) -> flatten(key, value, values));
+        SettingsReader reader = new SettingsReader(values);
+        Settings settings = reader.settings();
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < settings.classes().size(); i++) {
+            names.add(reader.text("classes." + i + ".name"));
+        }
+        return new Told(settings, reader.list("dcs"), reader.list("kinds"), List.copyOf(names),
+                reader.list("report.columns"), Math.max(1, reader.time("tick_ns")));
+    }
+
+    /** The same paths as the bench's lines have: plain lists joined by commas, objects counted. */
+    private static void flatten(String path, Object value, Map<String, String> into) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((key, inner) -> flatten(path + "." + key, inner, into));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            into.put(path + ".count", Integer.toString(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                flatten(path + "." + i, list.get(i), into);
+            }
+        } else if (value instanceof List<?> list) {
+            into.put(path, String.join(",", list.stream().map(String::valueOf).toList()));
+        } else {
+            into.put(path, String.valueOf(value));
+        }
     }
 
     private Settings settings() {
         List<ClassSpec> classes = new ArrayList<>();
         int count = whole("classes.count");
         if (count < 1 || count > 16) {
-            throw new MalformedInput("setting classes.count is out of range: " + count);
+            throw new SettingsError("setting classes.count is out of range: " + count);
         }
         for (int i = 0; i < count; i++) {
             classes.add(classSpec(i));
@@ -87,7 +129,7 @@
     private String text(String key) {
         String value = values.get(key);
         if (value == null) {
-            throw new MalformedInput("setting " + key + " is missing");
+            throw new SettingsError("setting " + key + " is missing");
         }
         return value;
     }
@@ -102,13 +144,13 @@
         } catch (NumberFormatException e) {
             // reported below, with the key
         }
-        throw new MalformedInput("setting " + key + " is not a number: " + value);
+        throw new SettingsError("setting " + key + " is not a number: " + value);
     }
 
     private int whole(String key) {
         double value = number(key);
         if (value != Math.rint(value) || Math.abs(value) > Integer.MAX_VALUE) {
-            throw new MalformedInput("setting " + key + " is not a whole number: " + text(key));
+            throw new SettingsError("setting " + key + " is not a whole number: " + text(key));
         }
         return (int) value;
     }
@@ -124,7 +166,7 @@
     private <T> T word(String key, Map<String, T> words) {
         T meaning = words.get(text(key));
         if (meaning == null) {
-            throw new MalformedInput("setting " + key + " has an unknown value: " + text(key));
+            throw new SettingsError("setting " + key + " has an unknown value: " + text(key));
         }
         return meaning;
     }
@@ -146,7 +188,7 @@
                 try {
                     places.add(Integer.valueOf(value));
                 } catch (NumberFormatException e) {
-                    throw new MalformedInput("setting " + key + " is not a list of places: " + value);
+                    throw new SettingsError("setting " + key + " is not a list of places: " + value);
                 }
             }
         }
--- a/src/test/java/rowanmoor/ArchitectureTest.java
+++ b/src/test/java/rowanmoor/ArchitectureTest.java
@@ -20,7 +20,11 @@
     void arrowsRunOneWay() {
         layeredArchitecture().consideringOnlyDependenciesInLayers()
                 .layer("core").definedBy("rowanmoor")
+                .layer("settings").definedBy("rowanmoor.settings")
                 .layer("benchlink").definedBy("rowanmoor.benchlink")
+                .layer("host").definedBy("rowanmoor.host")
+                .layer("resp").definedBy("rowanmoor.resp")
+                .layer("platform").definedBy("rowanmoor.platform")
                 .layer("kdl").definedBy("rowanmoor.kdl")
                 .layer("config").definedBy("rowanmoor.config")
                 .layer("net").definedBy("rowanmoor.net")
@@ -36,7 +40,12 @@
                 .layer("lab").definedBy("rowanmoor.lab")
                 .layer("cli").definedBy("rowanmoor.cli")
                 .whereLayer("core").mayNotAccessAnyLayer()
-                .whereLayer("benchlink").mayOnlyAccessLayers("core")
+                .whereLayer("settings").mayOnlyAccessLayers("core")
+                .whereLayer("benchlink").mayOnlyAccessLayers("core", "settings")
+                .whereLayer("host").mayOnlyAccessLayers("core", "channel")
+                .whereLayer("resp").mayNotAccessAnyLayer()
+                .whereLayer("platform").mayOnlyAccessLayers("core", "settings", "host", "channel", "resp",
+                        "config", "net", "http", "discovery")
                 .whereLayer("kdl").mayNotAccessAnyLayer()
                 .whereLayer("net").mayNotAccessAnyLayer()
                 .whereLayer("config").mayOnlyAccessLayers("core", "kdl")
@@ -44,7 +53,7 @@
                 .whereLayer("channel").mayOnlyAccessLayers("core")
                 .whereLayer("discovery").mayOnlyAccessLayers("core", "config", "net", "http")
                 .whereLayer("controller").mayOnlyAccessLayers("core", "config", "net", "http", "channel",
-                        "discovery", "capture")
+                        "discovery", "capture", "host")
                 .whereLayer("capture").mayOnlyAccessLayers("config")
                 .whereLayer("proxy").mayOnlyAccessLayers("core", "config", "net", "http", "channel",
                         "discovery")
@@ -64,7 +73,9 @@
     @Test
     void modulesThatDecideDoNoIo() {
         noClasses().that().resideInAPackage("rowanmoor").or().haveSimpleName("Driver").or()
-                .haveSimpleName("Intake").or().haveSimpleName("Outbox").or().haveSimpleName("TableStore").or()
+                .haveSimpleName("Intake").or().haveSimpleName("Outbox").or().resideInAPackage("rowanmoor.host").or()
+                .resideInAPackage("rowanmoor.settings").or().resideInAPackage("rowanmoor.resp").or()
+                .haveSimpleName("Messages").or().haveSimpleName("Translator").or()
                 .haveSimpleName("RosterView").or().haveSimpleName("Router").or().haveSimpleName("Tallies").or()
                 .haveSimpleName("Redial").or().haveSimpleName("BackendModel").or().haveSimpleName("Judge").or()
                 .haveSimpleName("Mirror").or().resideInAPackage("rowanmoor.emulator").or()
@@ -83,8 +94,9 @@
     @Test
     void theBenchsAdapterTouchesNoLibrary() {
         classes().that().resideInAPackage("rowanmoor.benchlink").or().resideInAPackage("rowanmoor").or()
-                .haveFullyQualifiedName("rowanmoor.cli.Main")
+                .resideInAPackage("rowanmoor.settings").or().haveFullyQualifiedName("rowanmoor.cli.Main")
                 .should().onlyDependOnClassesThat().resideInAnyPackage("java..", "rowanmoor",
-                        "rowanmoor.benchlink", "rowanmoor.cli").check(ALL);
+                        "rowanmoor.benchlink", "rowanmoor.settings", "rowanmoor.platform", "rowanmoor.cli")
+                .check(ALL);
     }
 }
--- a/src/test/java/rowanmoor/benchlink/LinkTest.java
+++ b/src/test/java/rowanmoor/benchlink/LinkTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import rowanmoor.settings.SettingsReaderTest;
 import rowanmoor.ControlApi.Admit;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Bind;
@@ -156,7 +157,7 @@
     }
 
     static ByteBuffer launch(int who, long seed) {
-        byte[] setup = SettingsParserTest.SETTINGS.getBytes(StandardCharsets.UTF_8);
+        byte[] setup = SettingsReaderTest.SETTINGS.getBytes(StandardCharsets.UTF_8);
         return ByteBuffer.allocate(21 + setup.length).order(ByteOrder.LITTLE_ENDIAN).put((byte) 10)
                 .putInt(16 + setup.length).putInt(who).putLong(seed).putInt(setup.length).put(setup).rewind();
     }
--- a/src/test/java/rowanmoor/benchlink/SettingsParserTest.java
+++ b/src/test/java/rowanmoor/settings/SettingsReaderTest.java
@@ -1,4 +1,4 @@
-package rowanmoor.benchlink;
+package rowanmoor.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -9,9 +9,9 @@
 import rowanmoor.ControlApi.Effect;
 import rowanmoor.ControlApi.Settings;
 
-class SettingsParserTest {
+public class SettingsReaderTest {
 
-    static final String SETTINGS = String.join("\n",
+    public static final String SETTINGS = String.join("\n",
             "balancers=1", "dcs=left,right", "classes.count=2",
             "classes.0.aim_ns=700000000", "classes.0.deadline_ns=2000000000", "classes.0.credit=1.0",
             "classes.0.late_worth=0.3", "classes.0.effect=retryable", "classes.0.key_scope=all",
@@ -29,7 +29,7 @@
 
     @Test
     void settingsAreReadAndUnknownKeysSkipped() {
-        Settings settings = SettingsParser.parse(SETTINGS);
+        Settings settings = SettingsReader.ofLines(SETTINGS);
         assertEquals(2, settings.classes().size());
         assertEquals(Effect.KEYED, settings.classes().get(1).effect());
         assertEquals(Set.of(1), settings.classes().get(1).onlyKinds());
@@ -47,12 +47,12 @@
             if (key.startsWith("some.") || key.endsWith("only_kinds")) {
                 continue;
             }
-            MalformedInput missing = assertThrows(MalformedInput.class,
-                    () -> SettingsParser.parse(SETTINGS.replace(line + "\n", "")), key);
+            SettingsError missing = assertThrows(SettingsError.class,
+                    () -> SettingsReader.ofLines(SETTINGS.replace(line + "\n", "")), key);
             assertTrue(missing.getMessage().contains(key), missing.getMessage());
         }
-        MalformedInput wrong = assertThrows(MalformedInput.class,
-                () -> SettingsParser.parse(SETTINGS.replace("extra.ejects=0", "extra.ejects=x")));
+        SettingsError wrong = assertThrows(SettingsError.class,
+                () -> SettingsReader.ofLines(SETTINGS.replace("extra.ejects=0", "extra.ejects=x")));
         assertTrue(wrong.getMessage().contains("setting extra.ejects is not a number"), wrong.getMessage());
     }
 }
