--- a/src/main/java/rowanmoor/platform/Names.java
+++ b/src/main/java/rowanmoor/platform/Names.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import rowanmoor.ControlApi.Backend;
@@ -17,11 +18,24 @@
     private static final long PLACES = (1L << 48) - 1; // as many as a Backend's text tells apart
     private static final Pattern PLACE = Pattern.compile("\\d+\\.\\d+\\.\\d+\\.\\d+:\\d+");
 
+    private final ToLongFunction<String> hash;
     private final Map<String, Backend> byId = new HashMap<>();
     private final Map<Backend, String> ids = new HashMap<>();
     private final Map<String, String> byText = new HashMap<>();
     private final Map<Backend, InetSocketAddress> addresses = new HashMap<>();
 
+    Names() {
+        this(Names::hash);
+    }
+
+    Names(ToLongFunction<String> hash) {
+        this.hash = hash;
+    }
+
+    static long hash(String id) {
+        return Hashing.xxh3_64().hashCharsToLong(id);
+    }
+
     /** The backend of an instance that discovery lists. */
     Backend listed(String id) {
         Backend known = byId.get(id);
@@ -38,8 +52,8 @@
         return backend;
     }
 
-    static Backend place(String id) {
-        return new Backend(Hashing.xxh3_64().hashCharsToLong(id) & PLACES);
+    private Backend place(String id) {
+        return new Backend(hash.applyAsLong(id) & PLACES);
     }
 
     /** The backend of an instance, or null for one that discovery has not listed. */
--- a/src/main/java/rowanmoor/platform/Peer.java
+++ b/src/main/java/rowanmoor/platform/Peer.java
@@ -27,7 +27,11 @@
         /** A spoilt message of a proxy or collector: it alone is dropped. */
         void dropped(Peer peer, Spoilt why);
 
+        /** Nothing more is heard of it. */
         void over(Peer peer, String why);
+
+        /** Its descriptor is free: at once, or after its last words were written. */
+        void closed(Peer peer);
     }
 
     /** What it turned out to be. */
@@ -146,6 +150,7 @@
     @Override
     public void closed(Connection its, Close why, String detail) {
         over(why + ": " + detail);
+        owner.closed(this);
     }
 
     private void over(String why) {
--- a/src/main/java/rowanmoor/platform/Service.java
+++ b/src/main/java/rowanmoor/platform/Service.java
@@ -245,8 +245,12 @@
     }
 
     @Override
-    public void over(Peer peer, String why) {
+    public void closed(Peer peer) {
         open--;
+    }
+
+    @Override
+    public void over(Peer peer, String why) {
         switch (peer.role()) {
             case STRANGER -> strangers.remove(peer);
             case COLLECTOR -> collectors.get(peer.number()).remove(peer);
@@ -363,7 +367,35 @@
                     peer.marked(mark.number());
                 }
             }
-            translator.push(proxy, orders, List.of()).forEach(peer::send);
+            translator.push(proxy, orders, List.of()).forEach(message -> sendTo(proxy, message));
+        }
+    }
+
+    // ---- figures, for the log and for tests ----------------------------------------------------------
+
+    int joinedCount() {
+        return proxies.size();
+    }
+
+    /** Connections at the controller's address whose descriptors are held. */
+    int openPeers() {
+        return open;
+    }
+
+    long spoilt() {
+        return spoilt;
+    }
+
+    /** The most that any book of backends holds. */
+    int remembered() {
+        return Math.max(Math.max(names.count(), view.remembered()), fanout.backendsKnown());
+    }
+
+    /** Writes to a proxy's stream. */
+    void sendTo(int proxy, List<String> message) {
+        Peer peer = proxies.get(proxy);
+        if (peer != null) {
+            peer.send(message);
         }
     }
 
--- /dev/null
+++ b/src/test/java/rowanmoor/platform/CatalogViewTest.java
@@ -0,0 +1,145 @@
+package rowanmoor.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rowanmoor.platform.TestPlatform.START;
+import static rowanmoor.platform.TestPlatform.WALL;
+import static rowanmoor.platform.TestPlatform.instance;
+import static rowanmoor.platform.TestPlatform.list;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.ListKind;
+import rowanmoor.ControlApi.Listed;
+import rowanmoor.ControlApi.Member;
+import rowanmoor.ControlApi.Members;
+
+/** Lists, changes, versions, starts, names. */
+class CatalogViewTest {
+
+    private static final String AT = "127.0.0.1:3000";
+    private static final long SECOND = 1_000_000_000L;
+
+    private final Names names = new Names();
+    private final CatalogView view = new CatalogView(TestPlatform.told(), names);
+    private final List<String> problems = new ArrayList<>();
+
+    private Members take(long generation, boolean reset, Map<?, ?>... entries) throws IOException {
+        List<Map<String, Object>> all = new ArrayList<>();
+        for (Map<?, ?> entry : entries) {
+            @SuppressWarnings("unchecked")
+            Map<String, Object> its = (Map<String, Object>) entry;
+            all.add(its);
+        }
+        return view.take(START, WALL, list(generation, reset, all), false, problems);
+    }
+
+    private static Map<String, Object> in(String id) {
+        return instance(id, "north", "in_service", 0, AT);
+    }
+
+    @Test
+    void wholeListsChangesAndWhatIsGone() throws IOException {
+        assertEquals(ListKind.CACHED, view.take(START, WALL, list(4, true, List.of(in("s-1"), in("s-2"))), true,
+                problems).kind());
+        assertEquals(4, view.generation());
+        Members change = take(5, false, instance("s-1", "north", "terminating", 0, AT));
+        assertEquals(ListKind.DELTA, change.kind());
+        assertEquals(Listed.DRAINING, change.entries().get(0).listed());
+        assertNull(take(6, false, instance("s-1", "north", "terminating", 0, AT)), "nothing has changed");
+        assertEquals(Listed.GONE, take(7, false, instance("s-1", "north", "terminated", 0, AT)).entries().get(0)
+                .listed());
+        Members whole = take(8, true, in("s-3"));
+        assertEquals(ListKind.FULL, whole.kind());
+        assertEquals(1, whole.entries().size(), "the module takes what a whole list lacks for gone");
+        assertNull(take(9, true, in("s-3")), "the same list again");
+        assertThrows(IOException.class, () -> take(3, false, in("s-1")), "changes that go back");
+        assertEquals(ListKind.FULL, take(2, true, in("s-1")).kind(), "a whole list may go back");
+        assertEquals(2, view.generation());
+    }
+
+    @Test
+    void anEntryThatCannotBeReadRemovesNothing() throws IOException {
+        take(1, true, in("s-1"), in("s-2"));
+        Map<String, Object> bad = in("s-1");
+        bad.put("lifecycle", "resting");
+        Members whole = take(2, true, bad, in("s-2"), in("s-3"));
+        assertEquals(3, whole.entries().size());
+        assertEquals(1, problems.size());
+        for (String key : List.of("zone", "machineType", "weight", "cell", "startedAtMs", "instanceId")) {
+            Map<String, Object> wrong = in("s-4");
+            wrong.put(key, key.equals("weight") || key.equals("cell") || key.equals("startedAtMs")
+                    ? (Object) (-1L) : "?,?");
+            assertNull(take(3, false, wrong), key);
+        }
+        assertThrows(IOException.class, () -> view.take(START, WALL, Map.of("generation", "x", "instances",
+                List.of()), false, problems));
+        assertThrows(IOException.class, () -> view.take(START, WALL, Map.of("generation", 9L), false, problems));
+    }
+
+    @Test
+    void aStartSecondsBeforeThisControllersIsNotLongAgo() throws IOException {
+        Member started = take(1, true, instance("s-1", "north", "in_service", WALL - 3000, AT)).entries().get(0);
+        assertEquals(START - 3 * SECOND, started.startedAt());
+        assertTrue(TestPlatform.told().settings().rules().warmth(started.startedAt(), START) < 0.5, "cold");
+        assertEquals(0, take(2, false, in("s-2")).entries().get(0).startedAt(), "0 means long ago");
+        assertEquals(START, take(3, false, instance("s-3", "north", "in_service", WALL + 900, AT)).entries()
+                .get(0).startedAt(), "never in the future");
+    }
+
+    @Test
+    void aStartStaysThoughTheWallClockIsSet() throws IOException {
+        long first = take(1, true, instance("s-1", "north", "in_service", WALL - 3000, AT)).entries().get(0)
+                .startedAt();
+        Members again = view.take(START + SECOND, WALL + 500_000, list(2, true, List.of(instance("s-1", "north",
+                "in_service", WALL - 3000, AT), in("s-2"))), false, problems);
+        assertEquals(first, again.entries().get(0).startedAt());
+    }
+
+    @Test
+    void placesFollowFromIdsAlone() {
+        Names other = new Names();
+        for (int i = 999; i >= 0; i--) {
+            other.listed("s-" + i);
+        }
+        for (int i = 0; i < 1000; i++) {
+            assertEquals(other.known("s-" + i), names.listed("s-" + i));
+        }
+        assertNull(names.known("s-1000"));
+        assertEquals("withdrawn: s-7 listed GONE, 1.2.3.4:5", names.named("withdrawn: " + names.known("s-7")
+                + " listed GONE, 1.2.3.4:5"));
+    }
+
+    @Test
+    void idsThatMeetAreToldApart() {
+        Names met = new Names(id -> id.startsWith("s-") && !id.contains("#") ? 5 : Names.hash(id));
+        Backend one = met.listed("s-1");
+        Backend two = met.listed("s-2");
+        assertNotEquals(one, two);
+        assertEquals("s-2", met.id(two));
+        assertEquals(one, met.listed("s-1"));
+        met.forget(one);
+        assertNull(met.id(one));
+        assertEquals(two, met.known("s-2"), "letting one go does not misdirect the other");
+    }
+
+    @Test
+    void replacedForGoodTheyAreLetGo() throws IOException {
+        for (int i = 0; i < 5000; i++) {
+            take(2 * i + 1, false, instance("s-" + i, "north", "in_service", WALL, AT));
+            take(2 * i + 2, false, instance("s-" + i, "north", "terminated", WALL, AT));
+            if (i >= 10) {
+                view.forget(names.known("s-" + (i - 10)));
+            }
+        }
+        assertEquals(10, view.remembered());
+        assertEquals(10, names.count());
+    }
+}
