A bind books a line for each withdrawn backend in its table; a record of beliefs

Checked: the wire's page prices a bind at a line, its lines, levels and withdrawn backends; Logic.bind booked all but the withdrawn, which stay in tables after a drain. Lines at fault: Logic.bind; tests' Stand.price, which had the same gap and so hid it. Also: -Drowanmoor.beliefs=true records, each second, what the module holds of each backend beside what reports say has passed.

--- a/src/main/java/rowanmoor/ControlApi.java
+++ b/src/main/java/rowanmoor/ControlApi.java
@@ -98,6 +98,17 @@
 
     record Log(String text) implements Action { }
 
+    /**
+     * What an instance holds of one backend; for records only, nothing is decided by it.
+     *
+     * @param load latency as it is judged, ns, or reported use, 0 to 1; 0 where it is not known
+     * @param health by region, 0 resting to 1
+     * @param tries the smoothed count by which it is judged
+     * @param shutOut withdrawn, since it drains, is gone or is held back for being cold
+     */
+    record Belief(Backend backend, Listed listed, double load, List<Double> health, double correction,
+            double warmth, double tries, boolean shutOut) { }
+
     /** One request class. Empty sets of zones or kinds mean that every backend is open to it. */
     record ClassSpec(long aim, long deadline, double worth, double lateWorth, Effect effect, Group group,
             long window, boolean write, boolean ownZone, Set<Integer> onlyZones, Set<Integer> onlyKinds) {
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -170,6 +170,13 @@
         return orders;
     }
 
+    /** What is held of each backend now. */
+    public List<Belief> beliefs(long now) {
+        return backends.values().stream().map(s -> new Belief(s.member.backend(), s.member.listed(), s.load(),
+                Arrays.stream(s.paths).map(p -> p.health).toList(), s.correction, s.warmth(now),
+                s.all.tries, s.withdrawn)).toList();
+    }
+
     // ---- 1. Members -------------------------------------------------------------------------------------
 
     private void hearList(long now, Members list) {
@@ -699,7 +706,10 @@
             int number = first.next();
             ProxyState proxy = proxies.get(number);
             double lines = 0;
-            for (Pool pool : proxy.pools) { lines += 1 + pool.sent.size() + groups.get(pool.group).size(); }
+            for (Pool pool : proxy.pools) {
+                lines += 1 + pool.sent.size() + groups.get(pool.group).size();
+                lines += pool.sent.keySet().stream().filter(b -> backends.get(b).withdrawn).count();
+            }
             double over = sent.waiting() + lines + settings.channel().head() + 1 - most;
             if (sent.waiting() > 0 && over > 0) {
                 double wait = SECOND * over / settings.channel().linesPerSecond();
--- a/src/main/java/rowanmoor/host/Fanout.java
+++ b/src/main/java/rowanmoor/host/Fanout.java
@@ -101,6 +101,24 @@
         return peer == null ? 0 : peer.classesOn(table);
     }
 
+    /**
+     * What part of one proxy's picks its tables give a backend, summed over joined proxies and classes; by
+     * the weights alone, shut-out backends left out.
+     */
+    public TreeMap<Backend, Double> picks() {
+        TreeMap<Backend, Double> picks = new TreeMap<>();
+        TreeMap<Integer, Integer> users = new TreeMap<>();
+        peers.values().forEach(peer -> Arrays.stream(peer.tables).filter(t -> t >= 0)
+                .forEach(t -> users.merge(t, 1, Integer::sum)));
+        users.forEach((table, count) -> {
+            TreeMap<Backend, Double> lines = new TreeMap<>(store.lines(table));
+            lines.keySet().removeAll(store.withdrawnOf(table));
+            double sum = lines.values().stream().mapToDouble(w -> w).sum();
+            lines.forEach((backend, weight) -> picks.merge(backend, count * weight / sum, Double::sum));
+        });
+        return picks;
+    }
+
     /** A joined proxy's tables, each with the classes bound to it. */
     public TreeMap<Integer, Integer> bindings(int proxy) {
         TreeMap<Integer, Integer> bindings = new TreeMap<>();
--- a/src/main/java/rowanmoor/host/Turns.java
+++ b/src/main/java/rowanmoor/host/Turns.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import rowanmoor.ControlApi;
 import rowanmoor.ControlApi.Action;
+import rowanmoor.ControlApi.Belief;
 import rowanmoor.ControlApi.Event;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.Probed;
@@ -116,6 +117,11 @@
         from.clear();
     }
 
+    /** What the module holds of each backend. */
+    public List<Belief> beliefs(long now) {
+        return logic.beliefs(now);
+    }
+
     /** When a turn is next due, if nothing more is heard. */
     public long nextAt() {
         boolean heard = !started || !lists.isEmpty() || !probes.isEmpty() || !reports.isEmpty()
--- a/src/main/java/rowanmoor/platform/Rehearsal.java
+++ b/src/main/java/rowanmoor/platform/Rehearsal.java
@@ -87,7 +87,8 @@
         public void opened(Connection its) {
             connection = its;
             say("probe");
-            say("hello node " + number + " locality " + (number % 2 == 0 ? "north" : "south") + " w 5.5 cold 1");
+            String zone = number % 2 == 0 ? "north" : "south";
+            say("hello node " + number + " locality " + zone + " w 5.5 cold 1");
             speak();
         }
 
--- a/src/main/java/rowanmoor/platform/Service.java
+++ b/src/main/java/rowanmoor/platform/Service.java
@@ -51,6 +51,9 @@
     private static final int MESSAGES_UNREAD_MOST = 8192;
     private static final long STATS_EVERY = 5_000 * MILLI;
     private static final long TROUBLES_A_SECOND = 5;
+    /** The JVM's property that switches the record of beliefs on. */
+    private static final String BELIEFS = "rowanmoor.beliefs";
+    private static final long BELIEFS_EVERY = 1_000 * MILLI;
 
     private final PlatformConfig config;
     private final Loop loop;
@@ -66,6 +69,7 @@
     private final Catalog catalog;
     private final Prober prober;
     private final Loop.Listener listener;
+    private final Beliefs beliefs; // null unless it is switched on
     private final Map<Integer, Peer> proxies = new HashMap<>();
     private final TreeMap<Integer, ArrayDeque<Peer>> collectors = new TreeMap<>();
     private final LinkedHashSet<Peer> strangers = new LinkedHashSet<>();
@@ -108,6 +112,10 @@
                         tickSoon();
                     }
                 });
+        this.beliefs = Boolean.getBoolean(BELIEFS) ? new Beliefs(names, log) : null;
+        if (beliefs != null) {
+            loop.after(BELIEFS_EVERY, this::believe);
+        }
         takeKnown();
         if (!settings.mustAsk()) {
             catalog.follow();
@@ -232,8 +240,12 @@
             if (backend == null || !fanout.knows(backend)) {
                 throw new Spoilt("outcomes endpoint: unknown: " + Messages.cut(o.instance()));
             }
-            turns.hearReport(new Tally(backend, o.zone(), o.tries(), o.failed(), o.latency(), o.span(),
-                    o.load()));
+            Tally tally = new Tally(backend, o.zone(), o.tries(), o.failed(), o.latency(), o.span(),
+                    o.load());
+            if (beliefs != null) {
+                beliefs.hear(tally);
+            }
+            turns.hearReport(tally);
         } else if (message instanceof Message.Demand d) {
             turns.hearReport(new Usage(d.proxy(), d.cls(), d.requests(), d.failed(), d.span()));
         }
@@ -385,6 +397,11 @@
         }
     }
 
+    private void believe() {
+        beliefs.write(turns.beliefs(loop.now()), fanout.picks());
+        loop.after(BELIEFS_EVERY, this::believe);
+    }
+
     // ---- figures, for the log and for tests ----------------------------------------------------------
 
     int joinedCount() {
@@ -417,7 +434,9 @@
         Runtime runtime = Runtime.getRuntime();
         log.accept("stats: " + proxies.size() + " proxies, " + strangers.size() + " strangers, " + open
                 + " open, " + names.count() + " names, " + view.remembered() + " listed, " + spoilt
-                + " spoilt, " + Math.round(lines) + " lines ordered, " + turnedAway + " turned away, " + decides + " decides of mean "
+                + " spoilt, " + Math.round(lines) + " lines ordered, " + turnedAway + " turned away, "
+                + decides
+                + " decides of mean "
                 + decideTime / Math.max(1, decides) / 1000 + " us, longest " + longestDecide / 1000
                 + " us, heap "
                 + (runtime.totalMemory() - runtime.freeMemory()) / 1024 + " KiB");
--- a/src/test/java/rowanmoor/LargeFleetTest.java
+++ b/src/test/java/rowanmoor/LargeFleetTest.java
@@ -121,6 +121,31 @@
         }
     }
 
+    /** A release on the bench's sockets: what has drained stays in tables, and costs a bind one line more. */
+    @Test
+    void aJoinStormAfterHalfHaveDrainedStaysInsideTheBacklog() {
+        Stand few = new Stand(TestSettings.large(300)).startAtOnce(30, 75).settle();
+        List<Member> drained = new ArrayList<>();
+        for (int b = 0; b < 20; b++) {
+            drained.add(Stand.member(b, b % 2, Listed.DRAINING, 0));
+        }
+        few.hear(new Members(ListKind.DELTA, 2, drained));
+        few.settle();
+        ControlApi.Event[] joins = new ControlApi.Event[150];
+        for (int p = 0; p < 150; p++) {
+            joins[p] = new ProxyJoined(75 + p, p % 2, 8, false);
+        }
+        few.hear(joins);
+        double most = few.lastLines();
+        for (int i = 0; i < 3; i++) { // no mark is answered in this time, and little leaves
+            few.now += MS;
+            few.decide();
+            most += few.lastLines();
+        }
+        assertTrue(most > few.settings.channel().backlog() / 2, "a storm: " + most);
+        assertTrue(most <= few.settings.channel().backlog(), most + " lines wait");
+    }
+
     @Test
     void aJoinStormOfAllProxiesStaysInsideTheBacklogAndAllAreBound() {
         stand.start(BACKENDS, 0);
--- a/src/test/java/rowanmoor/Stand.java
+++ b/src/test/java/rowanmoor/Stand.java
@@ -132,7 +132,9 @@
     private void price(Action action) {
         if (action instanceof Bind bind) {
             double classes = Integer.bitCount(bind.classes());
-            lines.merge(bind.proxy(), 1 + tables.getOrDefault(bind.table(), Map.of()).size() + classes, Double::sum);
+            Map<Backend, Double> table = tables.getOrDefault(bind.table(), Map.of());
+            double shutOut = table.keySet().stream().filter(b -> withdrawn.getOrDefault(b, false)).count();
+            lines.merge(bind.proxy(), 1 + table.size() + shutOut + classes, Double::sum);
             return;
         }
         int table = action instanceof SetLine line ? line.table()
