A path whose few tries fail is judged by the tries of all regions

The record of beliefs beside the reports: five of 30 backends fail every try from 6.5 s on; the module holds load 0 and health 1 of them until 9.5 to 12.6 s. Checked: a path has 2 tries a round, its smoothed sum never reaches the 8 below which nothing is judged; both regions together have 4 to 5 and do. Lines at fault: Logic.judgePaths asked each path alone.

--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -67,6 +67,7 @@
         boolean joined;
         boolean heard;
         boolean bound;
+        double present; // its part in the smoothed sums of reports: 0 before its first round, towards 1
         long leftAt;
         final double[] usage;
         final double[] newUsage;
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -276,8 +276,8 @@
     // Rests a path that fails far more than its peers (fast failers, dead and cut-off backends) and lightens
     // one that is far slower. Full backends fail too: partial failures rest few, and none under overload.
     private void judgePaths(long now, int region) {
-        List<Path> judged = backends.values().stream().filter(BackendState::ready).map(s -> s.paths[region])
-                .filter(p -> p.tries >= ENOUGH).toList();
+        List<Path> judged = backends.values().stream().filter(BackendState::ready)
+                .map(s -> evidence(s, region)).filter(p -> p.tries >= ENOUGH).toList();
         double usualFailing = Fleet.median(judged.stream().map(this::failing).toList());
         double usualLatency = Fleet.median(judged.stream().map(this::latency).filter(l -> l > 0).toList());
         double mayRest = 0;
@@ -287,10 +287,11 @@
             mayRest += part * state.member.weight();
         }
         for (BackendState state : backends.values().stream().sorted(Comparator.comparing(s ->
-                -failing(s.paths[region]))).toList()) {
+                -failing(evidence(s, region)))).toList()) {
             Path path = state.paths[region];
-            boolean failing = failing(path) > Math.max(FAILING, 3 * usualFailing);
-            boolean room = failing(path) > DEAD || overloadedRounds == 0 && mayRest >= state.member.weight();
+            Path told = evidence(state, region);
+            boolean failing = failing(told) > Math.max(FAILING, 3 * usualFailing);
+            boolean room = failing(told) > DEAD || overloadedRounds == 0 && mayRest >= state.member.weight();
             if (path.restUntil > now || now < path.trialFrom) { continue; }
             if (path.restUntil > 0) {
                 path.restUntil = 0;
@@ -301,15 +302,21 @@
                 path.restUntil = now + REST;
                 path.health = 0;
                 mayRest -= state.member.weight();
-                rested.add(state.member.backend() + " failed " + Math.round(100 * failing(path)) + "%");
+                rested.add(state.member.backend() + " failed " + Math.round(100 * failing(told)) + "%");
             } else {
-                double slower = usualLatency > 0 ? latency(path) / usualLatency : 1;
+                double slower = usualLatency > 0 ? latency(told) / usualLatency : 1;
                 path.health = Math.min(slower > OUTLIER ? 1 / slower : 1, path.health * TRIAL_GROWTH);
             }
         }
         tell("path rested from region " + region, rested);
     }
 
+    /** What tells of a path: its own tries; where they are few and fail, those of all regions. */
+    private Path evidence(BackendState state, int region) {
+        Path path = state.paths[region];
+        return path.tries >= ENOUGH || path.failed <= FAILING * path.tries ? path : state.all;
+    }
+
     /** One line of the log, however many it is about. */
     private void tell(String what, List<String> which) {
         String more = which.size() > NAMED_MOST ? " and " + (which.size() - NAMED_MOST) + " more" : "";
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -24,6 +24,7 @@
 import rowanmoor.ControlApi.ProxyLeft;
 import rowanmoor.ControlApi.Retry;
 import rowanmoor.ControlApi.SetLine;
+import rowanmoor.ControlApi.Tally;
 import rowanmoor.ControlApi.TimerAt;
 import rowanmoor.ControlApi.Watch;
 import rowanmoor.ControlApi.Withdraw;
@@ -509,4 +510,34 @@
         }
         assertEquals(0, stand.share(0, 0, 2), "lightened by its slow second alone it would keep half");
     }
+
+    /** Two tries a round from each region: too few of a path's own, as on the bench's sockets. */
+    private static double leastShare(java.util.function.IntBinaryOperator failedOfTwo, int proxy) {
+        double least = 1;
+        Stand thin = new Stand(TestSettings.plain()).start(8, 8);
+        for (int round = 0; round < 8; round++) {
+            for (int zone = 0; zone < 2; zone++) {
+                for (int b = 0; b < 8; b++) {
+                    int failed = failedOfTwo.applyAsInt(b, zone);
+                    thin.logic.on(thin.now, new Tally(Stand.backend(b), zone, 2, failed,
+                            failed == 2 ? 0 : 100 * MS, SECOND, List.of()));
+                }
+            }
+            thin.second();
+            least = Math.min(least, thin.share(proxy, 0, 3));
+        }
+        return least;
+    }
+
+    @Test
+    void aBackendThatFailsTheFewTriesOfEveryRegionRests() {
+        assertEquals(0, leastShare((b, zone) -> b == 3 ? 2 : 0, 1), 1e-2,
+                "no path has enough tries of its own, all together do");
+    }
+
+    @Test
+    void aBackendThatOneRegionCannotReachServesTheOther() {
+        assertTrue(leastShare((b, zone) -> b == 3 && zone == 0 ? 2 : 0, 1) > 0.05,
+                "few good tries of its own say more than the others' failures");
+    }
 }
