What is usual is judged by all regions too, where paths have few tries

Lines at fault: Logic.judgePaths, the list it judges. The test passes now and fails without the pooling.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -277,7 +277,8 @@
     // one that is far slower. Full backends fail too: partial failures rest few, and none under overload.
     private void judgePaths(long now, int region) {
         List<Path> judged = backends.values().stream().filter(BackendState::ready)
-                .map(s -> evidence(s, region)).filter(p -> p.tries >= ENOUGH).toList();
+                .map(s -> s.paths[region].tries >= ENOUGH ? s.paths[region] : s.all)
+                .filter(p -> p.tries >= ENOUGH).toList();
         double usualFailing = Fleet.median(judged.stream().map(this::failing).toList());
         double usualLatency = Fleet.median(judged.stream().map(this::latency).filter(l -> l > 0).toList());
         double mayRest = 0;
