Thin paths rest within the floor; the calm bound of the total is of all counted

Change: only failures of a path whose few tries fail are pooled, judged beside all backends' and within the floor of partial failures; the calm bound is scaled to all who are counted.

--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -276,11 +276,12 @@
     // Rests a path that fails far more than its peers (fast failers, dead and cut-off backends) and lightens
     // one that is far slower. Full backends fail too: partial failures rest few, and none under overload.
     private void judgePaths(long now, int region) {
-        List<Path> judged = backends.values().stream().filter(BackendState::ready)
-                .map(s -> s.paths[region].tries >= ENOUGH ? s.paths[region] : s.all)
-                .filter(p -> p.tries >= ENOUGH).toList();
+        List<BackendState> ready = backends.values().stream().filter(BackendState::ready).toList();
+        List<Path> judged = ready.stream().map(s -> s.paths[region]).filter(p -> p.tries >= ENOUGH).toList();
         double usualFailing = Fleet.median(judged.stream().map(this::failing).toList());
         double usualLatency = Fleet.median(judged.stream().map(this::latency).filter(l -> l > 0).toList());
+        double usualOfAll = Fleet.median(ready.stream().filter(s -> s.all.tries >= ENOUGH)
+                .map(s -> failing(s.all)).toList());
         double mayRest = 0;
         List<String> rested = new ArrayList<>();
         for (BackendState state : backends.values()) {
@@ -291,8 +292,10 @@
                 -failing(evidence(s, region)))).toList()) {
             Path path = state.paths[region];
             Path told = evidence(state, region);
-            boolean failing = failing(told) > Math.max(FAILING, 3 * usualFailing);
-            boolean room = failing(told) > DEAD || overloadedRounds == 0 && mayRest >= state.member.weight();
+            double usual = told == path ? usualFailing : usualOfAll;
+            boolean failing = failing(told) > Math.max(FAILING, 3 * usual);
+            boolean room = told == path && failing(path) > DEAD
+                    || overloadedRounds == 0 && mayRest >= state.member.weight();
             if (path.restUntil > now || now < path.trialFrom) { continue; }
             if (path.restUntil > 0) {
                 path.restUntil = 0;
@@ -305,14 +308,14 @@
                 mayRest -= state.member.weight();
                 rested.add(state.member.backend() + " failed " + Math.round(100 * failing(told)) + "%");
             } else {
-                double slower = usualLatency > 0 ? latency(told) / usualLatency : 1;
+                double slower = usualLatency > 0 ? latency(path) / usualLatency : 1;
                 path.health = Math.min(slower > OUTLIER ? 1 / slower : 1, path.health * TRIAL_GROWTH);
             }
         }
         tell("path rested from region " + region, rested);
     }
 
-    /** What tells of a path: its own tries; where they are few and fail, those of all regions. */
+    /** What tells of a path's failures: its own tries; where they are few and fail, those of all regions. */
     private Path evidence(BackendState state, int region) {
         Path path = state.paths[region];
         return path.tries >= ENOUGH || path.failed <= FAILING * path.tries ? path : state.all;
@@ -542,6 +545,7 @@
         double cycle = reports / settings.hearsPerSecond();
         for (ProxyState proxy : proxies.values()) {
             proxy.heard |= Arrays.stream(proxy.newUsage).sum() > 0;
+            proxy.present = blend(proxy.present, proxy.joined && proxy.heard ? 1 : 0);
             for (int c = 0; proxy.joined && proxy.heard && c < levels.length; c++) {
                 proxy.silent[c] = proxy.newUsage[c] > 0 ? 0 : proxy.silent[c] + seconds;
                 boolean unknown = cycle > seconds && proxy.silent[c] < 2 * cycle;
@@ -582,7 +586,7 @@
             total *= Math.pow(total < known ? FAST_RAISE : raise, calm);
             total = Math.max(total, HEADROOM * served); // else a total of zero would stay
             double ahead = busy > 0 ? Math.max(AHEAD, FULL / busy) : AHEAD;
-            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(ahead * served, known));
+            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(ahead * served * counted(), known));
         } else if (!blind && roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (!was) {
@@ -600,6 +604,19 @@
         }
     }
 
+    // Levels are shared by all that are counted; what is served is told of those here, smoothed. Who came of
+    // late is not in those sums yet, who left no longer: else a total bounded by them holds back, in calm,
+    // those who stay while the departed are counted.
+    private double counted() {
+        double present = proxies.values().stream()
+                .mapToDouble(p -> p.present * Arrays.stream(p.usage).sum()).sum();
+        return present <= 0 ? 1 : Math.min(1 / SMOOTH, demand() / present);
+    }
+
+    private double demand() {
+        return proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
+    }
+
     // Overload shows in a jam (all that a controller restarted in one can know), in failures, or in answers
     // twice as slow as in quiet and slow enough to matter; not while its cores idle: then the way is slow.
     private boolean isOverloaded(BackendState state) {
@@ -618,7 +635,7 @@
 
     /** Shares the part out, worthiest class first; a class's rest becomes one even level for all. */
     private void setLevels() {
-        double demand = proxies.values().stream().mapToDouble(p -> Arrays.stream(p.usage).sum()).sum();
+        double demand = demand();
         if (total >= LIFT * demand) { total = Double.POSITIVE_INFINITY; }
         double part = total;
         for (int cls : byWorth) {
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -540,4 +540,42 @@
         assertTrue(leastShare((b, zone) -> b == 3 && zone == 0 ? 2 : 0, 1) > 0.05,
                 "few good tries of its own say more than the others' failures");
     }
+
+    /** After a restart on the bench's sockets: a calm quarter was refused, since half had gone back. */
+    @Test
+    void inCalmNobodyIsHeldBackForProxiesThatWentElsewhere() {
+        Stand stand = new Stand(TestSettings.plain()).start(8, 8);
+        long[] per = {10, 0}; // tries a round and path, and how many fail
+        java.util.function.IntConsumer round = joined -> {
+            for (int p = 0; p < joined; p++) {
+                stand.usage(p, 0, 20);
+            }
+            for (int zone = 0; zone < 2; zone++) {
+                for (int b = 0; b < 8; b++) {
+                    stand.logic.on(stand.now, new Tally(Stand.backend(b), zone, per[0], per[1],
+                            100 * MS, SECOND, List.of()));
+                }
+            }
+            stand.second();
+        };
+        for (int i = 0; i < 10; i++) {
+            round.accept(8);
+        }
+        per[1] = 4;
+        for (int i = 0; i < 4; i++) {
+            round.accept(8); // overload: a total is set
+        }
+        per[1] = 0;
+        round.accept(8);
+        for (int p = 0; p < 6; p++) {
+            stand.hear(new ProxyLeft(7 - p));
+        }
+        per[0] = 3;
+        StringBuilder levels = new StringBuilder();
+        for (int i = 0; i < 8; i++) {
+            round.accept(2);
+            levels.append(' ').append(Math.round(stand.level(0, 0)));
+        }
+        assertTrue(stand.level(0, 0) >= 20, "20 a second come to a proxy, and let in are" + levels);
+    }
 }
