--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -586,7 +586,8 @@
             total *= Math.pow(total < known ? FAST_RAISE : raise, calm);
             total = Math.max(total, HEADROOM * served); // else a total of zero would stay
             double ahead = busy > 0 ? Math.max(AHEAD, FULL / busy) : AHEAD;
-            total = Double.isInfinite(total) ? total : Math.min(total, Math.max(ahead * served * counted(), known));
+            double bound = Math.max(ahead * served * counted(), known);
+            total = Double.isInfinite(total) ? total : Math.min(total, bound);
         } else if (!blind && roundsHeard > LEARN_ROUNDS) {
             overloadedRounds++;
             if (!was) {
