--- a/src/main/java/rowanmoor/controller/Controller.java
+++ b/src/main/java/rowanmoor/controller/Controller.java
@@ -29,7 +29,7 @@
 import rowanmoor.net.Bound;
 import rowanmoor.net.Connection;
 import rowanmoor.net.Loop;
-import rowanmoor.net.Timer;
+import rowanmoor.net.Ticks;
 
 /** The daemon: one {@link Driver} on one loop, with its streams, its roster and its probes. */
 public final class Controller implements Driver.Outside, ProxyStream.Owner {
@@ -48,10 +48,8 @@
     private final Loop.Listener listener;
     private final Map<Integer, ProxyStream> streams = new TreeMap<>();
     private final Histogram decided = new Histogram(HIGHEST_TIMED, 3);
+    private final Ticks ticks;
     private int open;
-    private Timer tick;
-    private long tickAt = Long.MAX_VALUE;
-    private long lastTick;
 
     /**
      * Listens at once.
@@ -72,23 +70,24 @@
                         config.site().zones(),
                         config.site().kinds(), config.site().classNames()), text -> LOG.error("capture {}",
                                 kv("what", text)));
+        this.ticks = new Ticks(loop, config.tick(), now -> driver().tick(now), () -> driver().nextAt());
         this.driver = new Driver(settings, seed, epoch, loop.now(), this, System::nanoTime);
         this.roster = new RosterClient(loop, config.roster(), config.service(), "rowanmoor-" + config.rank(),
                 config.rosterWait(),
                 config.emptyHold(), config.site().zones(), config.site().kinds(), wall, members -> {
                     driver.hearList(members);
                     members.entries().forEach(this::captureListed);
-                    tickSoon();
+                    ticks.soon();
                 }, text -> LOG.warn("roster {}", kv("what", text)));
         LoadColumns columns = new LoadColumns(config.site().columns());
         this.prober = new Prober(loop, config.probePath(), config.probeWithin(), config.probesAtOnce(),
                 Addresses::socket, answer -> columns.read(answer.fields().get(Orca.FIELD)), probed -> {
                     driver.hearProbe(probed);
-                    tickSoon();
+                    ticks.soon();
                 });
         this.listener = loop.listen(config.listen(), options(), this::accept);
         driver.hearList(roster.view().atStart());
-        tickSoon();
+        ticks.soon();
         stats();
         LOG.info("listening {} {}", kv("at", address().getAddress().getHostAddress() + ":"
                 + address().getPort()), kv("epoch", epoch));
@@ -143,7 +142,7 @@
         capture(new LoadRecord.Joined(loop.now(), hello.proxy(), hello.zone(), hello.rate()));
         LOG.info("proxy joined {} {} {}", kv("proxy", hello.proxy()), kv("name", hello.name()),
                 kv("held", hello.epoch() + "/" + hello.version()));
-        tickSoon();
+        ticks.soon();
         return null;
     }
 
@@ -163,7 +162,7 @@
                     kv("held", resync.epoch() + "/" + resync.version()));
             driver.resync(loop.now(), proxy);
         }
-        tickSoon();
+        ticks.soon();
     }
 
     @Override
@@ -179,7 +178,7 @@
             driver.left(hello.proxy());
             capture(new LoadRecord.Left(loop.now(), hello.proxy()));
             LOG.info("proxy left {} {}", kv("proxy", hello.proxy()), kv("why", why));
-            tickSoon();
+            ticks.soon();
         }
     }
 
@@ -238,36 +237,6 @@
         }
     }
 
-    // ---- ticks ---------------------------------------------------------------------------------------
-
-    /** Ticks keep the stated distance, so that what comes at once is decided at once. */
-    private void tickSoon() {
-        tickBy(Math.max(loop.now(), lastTick + config.tick()));
-    }
-
-    private void tickBy(long time) {
-        if (time < tickAt) {
-            if (tick != null) {
-                tick.cancel();
-            }
-            tickAt = time;
-            tick = loop.at(time, this::tickNow);
-        }
-    }
-
-    private void tickNow() {
-        tickAt = Long.MAX_VALUE;
-        lastTick = loop.now();
-        try {
-            driver.tick(lastTick);
-        } finally { // whatever a tick throws, the next one is due: messages wait for it
-            long next = driver.nextAt();
-            if (next != Long.MAX_VALUE) {
-                tickBy(Math.max(next, lastTick + config.tick()));
-            }
-        }
-    }
-
     private void stats() {
         Runtime runtime = Runtime.getRuntime();
         LOG.info("stats {} {} {} {} {} {} {} {} {} {} {} {}", kv("joined", driver.joinedCount()),
--- a/src/main/java/rowanmoor/platform/Service.java
+++ b/src/main/java/rowanmoor/platform/Service.java
@@ -34,7 +34,7 @@
 import rowanmoor.net.Bound;
 import rowanmoor.net.Connection;
 import rowanmoor.net.Loop;
-import rowanmoor.net.Timer;
+import rowanmoor.net.Ticks;
 
 /** One real controller of the platform: a module on one loop, with its peers, its catalog and its probes. */
 final class Service implements Peer.Owner, Catalog.Owner {
@@ -73,10 +73,8 @@
     private final Map<Integer, Peer> proxies = new HashMap<>();
     private final TreeMap<Integer, ArrayDeque<Peer>> collectors = new TreeMap<>();
     private final LinkedHashSet<Peer> strangers = new LinkedHashSet<>();
+    private final Ticks ticks;
     private int open;
-    private Timer tick;
-    private long tickAt = Long.MAX_VALUE;
-    private long lastTick = Long.MIN_VALUE / 2;
     private long troubleSecond;
     private long troublesTold;
     private long spoilt;
@@ -101,6 +99,7 @@
         this.view = new CatalogView(config.told(), names);
         this.fanout = new Fanout(settings.classes().size());
         this.turns = new Turns(settings, config.seed(), System::nanoTime);
+        this.ticks = new Ticks(loop, config.told().tick(), this::turn, turns::nextAt);
         this.translator = new Translator(config.told().classes(), names, fanout);
         this.listener = loop.listen(config.listen(), Connection.Options.usual()
                 .bound(new Bound(UNREAD_MOST, MESSAGES_UNREAD_MOST, Bound.Policy.CLOSE)), c -> accept());
@@ -109,7 +108,7 @@
                 PROBES_AT_ONCE, names::address, answer -> load(answer.body()), probed -> {
                     if (fanout.knows(probed.backend())) {
                         turns.hearProbe(probed);
-                        tickSoon();
+                        ticks.soon();
                     }
                 });
         this.beliefs = Boolean.getBoolean(BELIEFS) ? new Beliefs(names, log) : null;
@@ -120,7 +119,7 @@
         if (!settings.mustAsk()) {
             catalog.follow();
         }
-        tickSoon();
+        ticks.soon();
         loop.after(STATS_EVERY, this::stats);
         log.accept(config.name() + " listens at " + listener.address() + ", " + names.count()
                 + " instances known, catalog at " + config.discovery());
@@ -195,7 +194,7 @@
                 throw new Spoilt("ack node or nonce: not this stream's");
             }
             turns.hearStream(new Applied(ack.proxy(), ack.mark(), ack.latency()));
-            tickSoon();
+            ticks.soon();
         } else {
             report(peer, message);
         }
@@ -218,7 +217,7 @@
         proxies.put(hello.proxy(), peer);
         fanout.join(hello.proxy());
         turns.hearStream(new ProxyJoined(hello.proxy(), hello.zone(), hello.rate(), hello.fresh()));
-        tickSoon();
+        ticks.soon();
     }
 
     private void collect(Peer peer, int zone) {
@@ -249,7 +248,7 @@
         } else if (message instanceof Message.Demand d) {
             turns.hearReport(new Usage(d.proxy(), d.cls(), d.requests(), d.failed(), d.span()));
         }
-        tickSoon();
+        ticks.soon();
     }
 
     @Override
@@ -279,7 +278,7 @@
         if (proxies.remove(peer.number(), peer)) {
             fanout.leave(peer.number());
             turns.hearStream(new ProxyLeft(peer.number()));
-            tickSoon();
+            ticks.soon();
         }
     }
 
@@ -303,7 +302,7 @@
             log.accept("catalog: " + members.kind() + " " + members.version() + ": " + count(members));
             fanout.hearList(members);
             turns.hearList(members);
-            tickSoon();
+            ticks.soon();
         }
     }
 
@@ -319,7 +318,7 @@
         trouble("catalog: watch over: " + why);
         if (settings.mustAsk()) {
             turns.hearList(new Members(ListKind.FAILED, view.generation(), List.of()));
-            tickSoon();
+            ticks.soon();
         }
         return !settings.mustAsk();
     }
@@ -332,37 +331,13 @@
 
     // ---- turns ---------------------------------------------------------------------------------------
 
-    /** Turns keep the stated distance; what comes meanwhile is decided on at once. */
-    private void tickSoon() {
-        tickBy(Math.max(loop.now(), lastTick + config.told().tick()));
-    }
-
-    private void tickBy(long time) {
-        if (time < tickAt) {
-            if (tick != null) {
-                tick.cancel();
-            }
-            tickAt = time;
-            tick = loop.at(time, this::tickNow);
-        }
-    }
-
-    private void tickNow() {
-        tickAt = Long.MAX_VALUE;
-        lastTick = loop.now();
-        try {
-            Turns.Turn turn = turns.turn(lastTick);
-            if (turn != null) {
-                decides++;
-                decideTime += turn.took();
-                longestDecide = Math.max(longestDecide, turn.took());
-                carryOut(turn.actions());
-            }
-        } finally { // whatever a turn throws, the next one is due
-            long next = turns.nextAt();
-            if (next != Long.MAX_VALUE) {
-                tickBy(Math.max(next, lastTick + config.told().tick()));
-            }
+    private void turn(long now) {
+        Turns.Turn turn = turns.turn(now);
+        if (turn != null) {
+            decides++;
+            decideTime += turn.took();
+            longestDecide = Math.max(longestDecide, turn.took());
+            carryOut(turn.actions());
         }
     }
 
