Ends: every wait bounded, one watch at a time, an older list undoes no drain

Cause, from reading the paths that end things, each forced by a test that failed before: - net.Connection: a peer that ended, or was ended, with bytes waiting that it never read was held for good; the linger began only once the queue was empty. Ending now waits a second at a time for progress. Peer tells the leave with the peer's end, and bounds its last words by 2 s. - platform.Catalog: a second redial was set over a pending one when the old watch ended while the new address failed: two watches, one of them never stopped. One of next and redial at most now; a watch that has been replaced is not listened to; one whose answer ends is closed (its connection stayed open); a line that never ends is no sign of life; a new watch stands with its first line that can be read. - platform.CatalogView: an older whole list brought back what drained; an empty one emptied every table; an entry without ID made whoever it was gone. - host.Turns: joins and leaves before the first list waited without bound. - discovery.Prober: an answer that was kept alive left its connection open; an answer from an address that was left meanwhile was told. - platform.Service: an unjoined connection was turned away with its hello unread in the socket buffer; beyond the limit of descriptors proxies were still taken. Serve: SIGHUP read its file on the loop. Refuted: connections reset before they are accepted do not make accepting rest (real sockets).

--- a/src/main/java/rowanmoor/discovery/Prober.java
+++ b/src/main/java/rowanmoor/discovery/Prober.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import rowanmoor.ControlApi.Backend;
@@ -71,14 +72,14 @@
         long from = loop.now();
         InetSocketAddress at = where.apply(backend);
         if (at == null) {
-            loop.after(0, () -> done(new Probed(backend, false, DOWN, 0, List.of())));
+            loop.after(0, () -> done(at, new Probed(backend, false, DOWN, 0, List.of())));
             return;
         }
         ClientConnection connection = ClientConnection.open(loop, null, at,
                 Connection.Options.usual().connectWithin(within), Limits.usual().body(BODY_MOST), c -> { });
         Timer patience = loop.after(within, () -> {
             connection.cancel();
-            done(new Probed(backend, false, TIMEOUT, loop.now() - from, List.of()));
+            done(at, new Probed(backend, false, TIMEOUT, loop.now() - from, List.of()));
         });
         connection.ask(Message.Request.get(path, "Host", at.getHostString() + ":" + at.getPort(),
                 "Connection", "close"),
@@ -86,8 +87,9 @@
                     @Override
                     public void answered(Message.Response response) {
                         patience.cancel();
+                        connection.cancel(); // asked to close it, a backend may still leave it open
                         int status = response.status() == 200 ? OK : response.status() == 503 ? FULL : ERROR;
-                        done(new Probed(backend, status == OK, status, loop.now() - from,
+                        done(at, new Probed(backend, status == OK, status, loop.now() - from,
                                 load.apply(response)));
                     }
 
@@ -95,14 +97,17 @@
                     public void failed(boolean neverRan, Close why, String detail) {
                         patience.cancel();
                         int status = why == Close.CONNECT_TIMEOUT ? TIMEOUT : neverRan ? DOWN : BROKEN;
-                        done(new Probed(backend, false, status, loop.now() - from, List.of()));
+                        done(at, new Probed(backend, false, status, loop.now() - from, List.of()));
                     }
                 });
     }
 
-    private void done(Probed probed) {
+    /** One that has moved meanwhile was not asked: what is said at its old address says nothing of it. */
+    private void done(InetSocketAddress at, Probed probed) {
         working.remove(probed.backend());
-        told.accept(probed);
+        if (Objects.equals(at, where.apply(probed.backend()))) {
+            told.accept(probed);
+        }
         next();
     }
 }
--- a/src/main/java/rowanmoor/host/Turns.java
+++ b/src/main/java/rowanmoor/host/Turns.java
@@ -11,6 +11,8 @@
 import rowanmoor.ControlApi.Event;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.Probed;
+import rowanmoor.ControlApi.ProxyJoined;
+import rowanmoor.ControlApi.ProxyLeft;
 import rowanmoor.ControlApi.Settings;
 import rowanmoor.ControlApi.TimerAt;
 import rowanmoor.Logic;
@@ -57,7 +59,12 @@
 
     /** A join, a leave or a mark answered. */
     public void hearStream(Event event) {
-        streams.add(event);
+        if (!everListed && event instanceof ProxyLeft left) {
+            // Its join waits, and the module has never heard of it: nothing is owed on either side.
+            streams.removeIf(e -> e instanceof ProxyJoined joined && joined.proxy() == left.proxy());
+        } else {
+            streams.add(event);
+        }
     }
 
     /** A report line; before a backend was ever listed nothing can be made of it. */
--- a/src/main/java/rowanmoor/net/Connection.java
+++ b/src/main/java/rowanmoor/net/Connection.java
@@ -109,6 +109,16 @@
         }
     }
 
+    /**
+     * Reads what has come by now, out of its turn: before a connection is closed for what its peer has not
+     * said, since that may wait unread. Not from within a handler of this connection.
+     */
+    public void readNow() {
+        if (state == State.OPEN) {
+            guard(this::readSome);
+        }
+    }
+
     /** Reads nothing until {@link #resume}: what the peer sends waits with it. */
     public void pause() {
         paused = true;
@@ -121,10 +131,13 @@
         wants();
     }
 
-    /** Writes what waits, then ends this side's bytes and, once the peer ends too, the connection. */
+    /**
+     * Writes what waits, then ends this side's bytes and, once the peer ends too, the connection. A peer that
+     * neither reads nor ends is waited for a second at a time, and no longer.
+     */
     public void end() {
         if (state == State.OPEN) {
-            state = State.ENDING;
+            beginEnding();
             markDirty();
         } else if (state == State.CONNECTING) {
             close(Close.LOCAL, "ended before it was made");
@@ -267,7 +280,7 @@
             if (queue.isEmpty()) {
                 close(Close.ENDED, "the peer ended");
             } else {
-                state = State.ENDING;
+                beginEnding();
             }
         }
         wants();
@@ -312,11 +325,29 @@
             outputEnded = true;
             wire.endOutput();
             heardAt = loop.now();
-            // A peer that never ends its side must not hold the connection for good.
-            idle = loop.after(loop.lingerFor(), () -> close(Close.LOCAL, "the peer did not end its side"));
+            watchEnding();
         }
     }
 
+    private void beginEnding() {
+        state = State.ENDING;
+        watchEnding();
+    }
+
+    /** A peer that never reads what waits, or never ends its side, must not hold the connection for good. */
+    private void watchEnding() {
+        cancel(idle);
+        long before = writtenBytes;
+        idle = loop.after(loop.lingerFor(), () -> {
+            if (writtenBytes > before) {
+                watchEnding();
+            } else {
+                close(Close.LOCAL, outputEnded ? "the peer did not end its side"
+                        : "the peer took none of the last " + queuedBytes + " bytes");
+            }
+        });
+    }
+
     private void wants() {
         if (state == State.OPEN || state == State.ENDING) {
             wire.want(!paused && !peerEnded, !queue.isEmpty());
--- a/src/main/java/rowanmoor/net/Loop.java
+++ b/src/main/java/rowanmoor/net/Loop.java
@@ -240,6 +240,14 @@
         return timers.isEmpty() ? Long.MAX_VALUE : Math.max(0, timers.peek().time - now());
     }
 
+    int liveTimers() {
+        return (int) timers.stream().filter(Timer::live).count();
+    }
+
+    int openConnections() {
+        return connections.size();
+    }
+
     /** Whether a turn has something to do at once, readiness aside. */
     boolean hasWork() {
         return !posted.isEmpty() || !dirty.isEmpty() || untilNextTimer() == 0;
--- a/src/main/java/rowanmoor/net/MemoryNet.java
+++ b/src/main/java/rowanmoor/net/MemoryNet.java
@@ -96,6 +96,16 @@
         }
     }
 
+    /** Timers of a loop that are still to come due. */
+    public int timersOf(Loop loop) {
+        return loop.liveTimers();
+    }
+
+    /** Connections of a loop that are not closed, those being made among them. */
+    public int connectionsOf(Loop loop) {
+        return loop.openConnections();
+    }
+
     public long now() {
         return clock.now();
     }
--- a/src/main/java/rowanmoor/platform/Catalog.java
+++ b/src/main/java/rowanmoor/platform/Catalog.java
@@ -18,6 +18,9 @@
 /**
  * Follows the catalog: one watch, begun anew when it breaks, falls silent or brings what cannot be read.
  * When the catalog moves, the new watch stands before the old one ends.
+ *
+ * <p>At any time there is at most one watch that stands ({@code current}), and at most one of: a watch that
+ * is being begun ({@code next}), a redial to come ({@code redial}). Only the two watches are listened to.
  */
 final class Catalog {
 
@@ -30,14 +33,16 @@
         /** Takes an object in; throws if it makes no sense. */
         void take(Map<String, Object> object) throws IOException;
 
-        /** A watch is over; answers whether to begin another without being asked. */
+        /** No watch stands any more; answers whether to begin another without being asked. */
         boolean broken(String why);
     }
 
     private static final long MILLI = 1_000_000L;
     private static final long CONNECT_WITHIN = 700 * MILLI;
-    /** A line comes every 2 s; one that is so late will not come. What is told counts as told after 6 s. */
+    /** A line comes every 2 s; one that is so late will not come. */
     private static final long SILENT_AFTER = 2_700 * MILLI;
+    /** In how long a line that has begun has to end; looked at as often as silence is. */
+    private static final long LINE_WITHIN = 3_000 * MILLI;
     private static final long FIRST_WAIT = 20 * MILLI;
     private static final long LONGEST_WAIT = 500 * MILLI;
     private static final int LINE_MOST = 4 << 20;
@@ -48,7 +53,7 @@
     private InetSocketAddress at;
     private Watch current;
     private Watch next;
-    private Timer again;
+    private Timer redial; // null unless one is to come
     private long wait = FIRST_WAIT;
 
     Catalog(Loop loop, InetSocketAddress at, long seed, Owner owner) {
@@ -70,49 +75,51 @@
         if (!other.equals(at)) {
             at = other;
             wait = FIRST_WAIT;
-            if (next != null) {
-                Watch stale = next;
-                next = null;
-                stale.stop();
-            }
             begin();
         }
     }
 
     private void begin() {
-        if (again != null) {
-            again.cancel();
+        if (redial != null) {
+            redial.cancel();
+            redial = null;
+        }
+        if (next != null) {
+            next.stop();
         }
         next = new Watch();
         next.open();
     }
 
     private void over(Watch watch, String why) {
-        if (watch != current && watch != next) {
-            return; // replaced, or stopped
-        }
-        boolean wasNext = watch == next;
-        if (wasNext) {
+        watch.stop();
+        if (watch == next) {
             next = null;
-        } else {
+            if (current != null || owner.broken(why)) {
+                redialLater();
+            }
+        } else if (watch == current) {
             current = null;
-        }
-        if (next != null) {
-            return; // the old address has closed; the new one is being asked
-        }
-        if (owner.broken(why)) {
-            long most = wait + random.nextLong(wait);
-            wait = Math.min(2 * wait, LONGEST_WAIT);
-            again = loop.after(most, this::begin);
+            // While another is being asked, or is about to be, that one decides what comes of it.
+            if (next == null && redial == null && owner.broken(why)) {
+                redialLater();
+            }
         }
     }
 
+    private void redialLater() {
+        long delay = wait + random.nextLong(wait);
+        wait = Math.min(2 * wait, LONGEST_WAIT);
+        redial = loop.after(delay, this::begin);
+    }
+
     /** One connection's worth of following. */
     private final class Watch implements ClientStream.Answer {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private ClientStream stream;
         private Timer silence;
         private long heardAt;
+        private long lineSince; // when the line begun last began
 
         void open() {
             heardAt = loop.now();
@@ -127,13 +134,15 @@
         private void watchSilence() {
             long left = heardAt + SILENT_AFTER - loop.now();
             if (left <= 0) {
-                stop();
                 over(this, "silent");
+            } else if (line.size() > 0 && loop.now() - lineSince > LINE_WITHIN) {
+                over(this, "a line that does not end");
             } else {
                 silence = loop.after(left, this::watchSilence);
             }
         }
 
+        /** Nothing more is heard of it, and its connection is closed; harmless if it is over. */
         void stop() {
             if (silence != null) {
                 silence.cancel();
@@ -141,11 +150,14 @@
             stream.cancel();
         }
 
+        private boolean isHeard() {
+            return this == current || this == next;
+        }
+
         @Override
         public void head(Part.ResponseHead head) {
             heardAt = loop.now();
             if (head.status() != 200) {
-                stop();
                 over(this, "status " + head.status());
             }
         }
@@ -153,39 +165,36 @@
         @Override
         public void content(ByteBuffer bytes) {
             heardAt = loop.now();
-            while (bytes.hasRemaining()) {
+            while (bytes.hasRemaining() && isHeard()) {
                 byte b = bytes.get();
                 if (b != '\n') {
+                    lineSince = line.size() == 0 ? loop.now() : lineSince;
                     line.write(b);
                     if (line.size() > LINE_MOST) {
                         unreadable("a line of more than " + LINE_MOST + " bytes");
-                        return;
                     }
-                } else if (!take()) {
-                    return;
+                } else {
+                    take();
                 }
             }
         }
 
-        private boolean take() {
+        private void take() {
             byte[] bytes = line.toByteArray();
             line.reset();
             boolean cr = bytes.length > 0 && bytes[bytes.length - 1] == '\r';
             int length = cr ? bytes.length - 1 : bytes.length;
-            stands();
-            if (length == 0) {
-                return true;
-            }
             try {
-                owner.take(Json.object(bytes, 0, length));
-                return true;
+                if (length > 0) {
+                    owner.take(Json.object(bytes, 0, length));
+                }
+                stands();
             } catch (IOException e) {
                 unreadable(String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
-                return false;
             }
         }
 
-        /** Its first line has come: it takes the place of the one before. */
+        /** Its first line has come and can be read: it takes the place of the one before. */
         private void stands() {
             if (next == this) {
                 Watch old = current;
@@ -199,21 +208,16 @@
         }
 
         private void unreadable(String why) {
-            stop();
             over(this, "cannot be read: " + why);
         }
 
         @Override
         public void whole(Fields trailers) {
-            silence.cancel();
-            over(this, "ended");
+            over(this, "ended"); // closes it too: an answer that ends leaves its connection open
         }
 
         @Override
         public void failed(boolean neverRan, Close why, String detail) {
-            if (silence != null) {
-                silence.cancel();
-            }
             over(this, why + ": " + detail);
         }
     }
--- a/src/main/java/rowanmoor/platform/CatalogView.java
+++ b/src/main/java/rowanmoor/platform/CatalogView.java
@@ -18,8 +18,9 @@
 
 /**
  * What the catalog's objects mean to the module: whole lists and changes, versions, starts in this
- * instance's clock. An entry that cannot be read does not remove what is known of its instance. No I/O; its
- * callers pass both clocks.
+ * instance's clock. An entry that cannot be read does not remove what is known of its instance. An object of
+ * an older version than the newest one seen does not undo a drain, and a whole list that is empty is believed
+ * once it has been for a while. No I/O; its callers pass both clocks.
  */
 final class CatalogView {
 
@@ -27,6 +28,8 @@
     private static final Map<String, Listed> LIFECYCLES = Map.of("in_service", Listed.READY,
             "terminating", Listed.DRAINING, "terminated", Listed.GONE);
     private static final int PROBLEMS_TOLD = 3;
+    /** How long a list must have been empty to be believed: as long as what is told may take to arrive. */
+    private static final long EMPTY_HOLD = 6_000 * MILLI;
 
     private record Stamp(long startedAtMs, long startedAt) { }
 
@@ -35,6 +38,8 @@
     private final TreeMap<Backend, Member> held = new TreeMap<>();
     private final Map<Backend, Stamp> stamps = new HashMap<>();
     private long generation;
+    private long newest; // the highest version taken in
+    private long emptySince = -1;
 
     CatalogView(Told told, Names names) {
         this.told = told;
@@ -66,44 +71,74 @@
         if (!whole && version < generation) {
             throw new IOException("changes up to " + version + " after version " + generation);
         }
-        generation = version;
+        boolean empty = whole && !known && instances.isEmpty()
+                && held.values().stream().anyMatch(m -> m.listed() != Listed.GONE);
+        emptySince = !empty ? -1 : emptySince < 0 ? now : emptySince;
+        if (empty && now - emptySince < EMPTY_HOLD) { // one that has just begun may know of none yet
+            throw new IOException("an empty list after one of " + held.size() + " instances");
+        }
+        boolean late = version < newest;
+        boolean unnamed = false;
         List<Member> entries = new ArrayList<>();
         Set<Backend> mentioned = new HashSet<>();
         for (Object instance : instances) {
-            Member member = member(now, wall, instance, problems);
+            String id = id(instance);
+            if (id == null) {
+                problem(problems, "an entry without a usable instanceId");
+                unnamed = true;
+                continue;
+            }
+            Member member = member(now, wall, id, (Map<?, ?>) instance, problems);
             if (member != null && mentioned.add(member.backend())) {
-                entries.add(member);
+                entries.add(late ? notUndone(member) : member);
             }
         }
+        generation = version;
+        newest = Math.max(newest, version);
         if (whole) {
-            return whole(known, entries, mentioned);
+            return whole(known, entries, mentioned, unnamed);
         }
         entries.removeIf(m -> m.equals(held.put(m.backend(), m)));
         return entries.isEmpty() ? null : new Members(ListKind.DELTA, version, List.copyOf(entries));
     }
 
-    /** A whole list that says what is held already is not told again. */
-    private Members whole(boolean known, List<Member> entries, Set<Backend> mentioned) {
+    /** What was draining or gone at a newer version is so still, unless it has started anew. */
+    private Member notUndone(Member member) {
+        Member old = held.get(member.backend());
+        boolean undone = old != null && old.listed() != Listed.READY && member.listed() == Listed.READY
+                && old.startedAt() == member.startedAt();
+        return undone ? old : member;
+    }
+
+    /**
+     * A whole list that says what is held already is not told again. With an entry that names nobody, nobody
+     * is gone for not being mentioned: it may be the one.
+     */
+    private Members whole(boolean known, List<Member> entries, Set<Backend> mentioned, boolean unnamed) {
         boolean same = !known;
         for (Member member : entries) {
             same &= member.equals(held.put(member.backend(), member));
         }
         for (Member old : List.copyOf(held.values())) {
             if (!mentioned.contains(old.backend()) && old.listed() != Listed.GONE) {
-                held.put(old.backend(), old.gone());
-                same = false;
+                if (unnamed) {
+                    entries.add(old);
+                } else {
+                    held.put(old.backend(), old.gone());
+                    same = false;
+                }
             }
         }
         return same ? null : new Members(known ? ListKind.CACHED : ListKind.FULL, generation,
                 List.copyOf(entries));
     }
 
-    private Member member(long now, long wall, Object instance, List<String> problems) {
-        if (!(instance instanceof Map<?, ?> entry) || !(entry.get("instanceId") instanceof String id)
-                || !id.matches("[!-~&&[^,:]]{1,200}")) {
-            problem(problems, "an entry without a usable instanceId");
-            return null;
-        }
+    private static String id(Object instance) {
+        return instance instanceof Map<?, ?> entry && entry.get("instanceId") instanceof String id
+                && id.matches("[!-~&&[^,:]]{1,200}") ? id : null;
+    }
+
+    private Member member(long now, long wall, String id, Map<?, ?> entry, List<String> problems) {
         Backend backend = names.listed(id);
         Member old = held.get(backend);
         Listed listed = LIFECYCLES.get(entry.get("lifecycle"));
--- a/src/main/java/rowanmoor/platform/Peer.java
+++ b/src/main/java/rowanmoor/platform/Peer.java
@@ -40,6 +40,8 @@
     private static final int STRANGER_BYTES = 4096;
     private static final int PARTS_MOST = 256;
     private static final int MARKS_KEPT = 512;
+    /** In how long its last words have to be taken, however slowly it reads. */
+    private static final long LAST_WORDS_WITHIN = 2_000_000_000L;
 
     private final Loop loop;
     private final Owner owner;
@@ -47,7 +49,7 @@
     private final RespReader reader = new RespReader(STRANGER_BYTES, PARTS_MOST);
     private final ArrayDeque<Integer> marks = new ArrayDeque<>();
     private Connection connection;
-    private Timer patience;
+    private Timer patience; // for its joining, and after it is over for its last words
     private Role role = Role.STRANGER;
     private int number = -1;
     private boolean over;
@@ -124,6 +126,11 @@
         connection.send(RespWriter.encode(message));
     }
 
+    /** Bytes that wait to be written to it. */
+    long unread() {
+        return connection.queuedBytes();
+    }
+
     /** Says why, but to a collector, and ends. */
     void end(String why) {
         if (connection.isOpen()) {
@@ -132,9 +139,29 @@
             }
             connection.end();
             over(why);
+            boundLastWords();
+        }
+    }
+
+    /** What has come by now is heard, though no turn has read it yet. */
+    void hearNow() {
+        connection.readNow();
+    }
+
+    private void boundLastWords() {
+        if (!connection.isClosed()) {
+            patience = loop.after(LAST_WORDS_WITHIN, () -> drop("its last words were not taken"));
         }
     }
 
+    /** It has left with its end of the stream, whether or not it still takes what waits for it. */
+    @Override
+    public boolean ended(Connection its) {
+        over("ENDED: the peer ended");
+        boundLastWords();
+        return false;
+    }
+
     /** Closes at once. */
     void drop(String why) {
         connection.close(Close.LOCAL, why);
@@ -143,15 +170,14 @@
     @Override
     public void closed(Connection its, Close why, String detail) {
         over(why + ": " + detail);
+        patience.cancel();
         owner.closed(this);
     }
 
     private void over(String why) {
         if (!over) {
             over = true;
-            if (patience != null) {
-                patience.cancel();
-            }
+            patience.cancel();
             owner.over(this, why);
         }
     }
--- a/src/main/java/rowanmoor/platform/Serve.java
+++ b/src/main/java/rowanmoor/platform/Serve.java
@@ -19,7 +19,7 @@
             loop[0] = Loop.onSockets(cause -> fault(log, cause));
             PlatformConfig config = PlatformConfig.read(env);
             Service service = new Service(config, loop[0], System::currentTimeMillis, log::line);
-            handle("HUP", () -> loop[0].post(() -> reload(env, service, log)));
+            handle("HUP", new Reload(env, loop[0], service, log));
             // Proxies go elsewhere by themselves and nothing is kept: the end is at once.
             handle("TERM", () -> Runtime.getRuntime().halt(0));
             loop[0].run();
@@ -46,11 +46,20 @@
         log.line("fault: " + cause + (at.length < 2 ? "" : " at " + at[0] + ", " + at[1]));
     }
 
-    private static void reload(Map<String, String> env, Service service, LineLog log) {
-        try {
-            service.reload(PlatformConfig.read(env));
-        } catch (IOException | IllegalArgumentException e) {
-            log.line("configuration kept as it was: " + e.getMessage());
+    /**
+     * Reads the configuration on the signal's own thread, since the loop must not wait for a disk. One at a
+     * time: of two signals at once, what was read last is what is handed over last.
+     */
+    record Reload(Map<String, String> env, Loop loop, Service service, LineLog log) implements Runnable {
+
+        @Override
+        public synchronized void run() {
+            try {
+                PlatformConfig config = PlatformConfig.read(env);
+                loop.post(() -> service.reload(config));
+            } catch (IOException | IllegalArgumentException e) {
+                log.line("configuration kept as it was: " + e.getMessage());
+            }
         }
     }
 
--- a/src/main/java/rowanmoor/platform/Service.java
+++ b/src/main/java/rowanmoor/platform/Service.java
@@ -164,12 +164,20 @@
     // ---- peers ---------------------------------------------------------------------------------------
 
     private Peer accept() {
-        // Real peers say who they are at once: who has been silent longest goes first.
-        while (!strangers.isEmpty() && (open >= config.sockets() - KEPT_BACK
+        // Real peers say who they are at once: who has been silent longest goes first. What it has said may
+        // not have been read yet, and it may have joined by it.
+        while (!strangers.isEmpty() && (isFull()
                 || strangers.size() >= Math.max(STRANGERS_LEAST, config.sockets() / 2))) {
             Peer oldest = strangers.iterator().next();
+            oldest.hearNow();
+            if (strangers.contains(oldest)) {
+                turnedAway++;
+                oldest.drop("too many that have not joined");
+            }
+        }
+        if (isFull()) {
             turnedAway++;
-            oldest.drop("too many that have not joined");
+            return null;
         }
         Peer peer = new Peer(loop, this, JOIN_WITHIN);
         strangers.add(peer);
@@ -177,6 +185,10 @@
         return peer;
     }
 
+    private boolean isFull() {
+        return open >= config.sockets() - KEPT_BACK;
+    }
+
     @Override
     public void heard(Peer peer, List<String> parts) throws Spoilt {
         Message message = messages.read(parts);
@@ -397,6 +409,11 @@
         return Math.max(Math.max(names.count(), view.remembered()), fanout.backendsKnown());
     }
 
+    /** Bytes that wait for a joined proxy. */
+    long unread(int proxy) {
+        return proxies.get(proxy).unread();
+    }
+
     /** Writes to a proxy's stream. */
     void sendTo(int proxy, List<String> message) {
         Peer peer = proxies.get(proxy);
--- a/src/test/java/rowanmoor/TestSettings.java
+++ b/src/test/java/rowanmoor/TestSettings.java
@@ -28,7 +28,7 @@
      * A safe class of worth 1 and an unsafe one of worth 5, both open everywhere; two zones with own
      * tables.
      */
-    static Settings plain() {
+    public static Settings plain() {
         return with(List.of(spec(Effect.SAFE, 1, Set.of()), spec(Effect.UNSAFE, 5, Set.of())), false, 0, 0);
     }
 
--- a/src/test/java/rowanmoor/platform/CatalogViewTest.java
+++ b/src/test/java/rowanmoor/platform/CatalogViewTest.java
@@ -84,6 +84,46 @@
         assertThrows(IOException.class, () -> view.take(START, WALL, Map.of("generation", 9L), false, problems));
     }
 
+    @Test
+    void anEntryThatNamesNobodyLeavesAllThatAreNotMentioned() throws IOException {
+        take(1, true, in("s-1"), in("s-2"));
+        Map<String, Object> bad = in("s-2");
+        bad.remove("instanceId");
+        assertNull(take(2, true, in("s-1"), bad), "s-2 may be the one");
+        assertEquals(1, problems.size());
+        assertEquals(2, take(3, true, in("s-1"), in("s-3"), bad).entries().size() - 1, "all three are listed");
+    }
+
+    @Test
+    void anOlderListDoesNotUndoADrainUnlessItsProcessIsNew() throws IOException {
+        take(5, true, in("s-1"), in("s-2"), in("s-3"));
+        take(6, false, instance("s-1", "north", "terminating", 0, AT), instance("s-2", "north", "terminated", 0, AT));
+        Members older = take(5, true, in("s-1"), in("s-2"), in("s-3"));
+        assertNull(older, "nothing is undone: " + older);
+        assertEquals(5, view.generation(), "it is followed from what it has said");
+        assertNull(take(6, false, instance("s-1", "north", "terminating", 0, AT)), "and said again");
+        assertEquals(Listed.READY, take(7, false, in("s-1")).entries().get(0).listed(), "a newer one may");
+        take(8, false, instance("s-1", "north", "terminated", 0, AT));
+        assertEquals(Listed.READY, take(4, true, instance("s-1", "north", "in_service", WALL - 500, AT), in("s-2"),
+                in("s-3")).entries().get(0).listed(), "started anew");
+    }
+
+    @Test
+    void anEmptyListIsBelievedOnceItHasStayedSo() throws IOException {
+        take(1, true, in("s-1"));
+        Map<String, Object> empty = list(2, true, List.of());
+        for (long ms : new long[] {0, 3000, 5999}) {
+            assertThrows(IOException.class, () -> view.take(START + ms * 1_000_000, WALL, empty, false, problems));
+        }
+        assertEquals(1, view.generation(), "it is asked from what is held");
+        take(2, false, in("s-2"));
+        assertThrows(IOException.class, () -> view.take(START + 6 * SECOND, WALL, empty, false, problems),
+                "something was said meanwhile");
+        Members gone = view.take(START + 12 * SECOND, WALL, empty, false, problems);
+        assertEquals(ListKind.FULL, gone.kind());
+        assertEquals(List.of(), gone.entries());
+    }
+
     @Test
     void aStartSecondsBeforeThisControllersIsNotLongAgo() throws IOException {
         Member started = take(1, true, instance("s-1", "north", "in_service", WALL - 3000, AT)).entries().get(0);
--- a/src/test/java/rowanmoor/platform/ServiceTest.java
+++ b/src/test/java/rowanmoor/platform/ServiceTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rowanmoor.platform.TestPlatform.MS;
@@ -9,6 +10,7 @@
 import static rowanmoor.platform.TestPlatform.instance;
 import static rowanmoor.platform.TestPlatform.list;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
@@ -134,7 +136,7 @@
         Client proxy = joined(1);
         run(5 * SECOND);
         int pushes = proxy.heard.size();
-        TestPlatform.Catalogue other = platform.new Catalogue();
+        TestPlatform.Catalogue other = platform.new Catalogue(TestPlatform.ANY);
         other.first = ""; // says nothing yet
         PlatformConfig moved = new PlatformConfig("n1", TestPlatform.ANY, other.address, 7, 256,
                 list(1, true, List.of()), TestPlatform.told());
@@ -154,6 +156,36 @@
         assertNull(proxy.over);
     }
 
+    @Test
+    void theOldWatchEndingWhileTheNewAddressIsRedialledLeavesOneWatch() {
+        InetSocketAddress later = new InetSocketAddress(TestPlatform.ANY.getAddress(), 9);
+        for (int ms = 0; ms < 600; ms += 20) {
+            TestPlatform its = new TestPlatform(3 + ms).serve();
+            its.service.reload(new PlatformConfig("n1", TestPlatform.ANY, later, 7, 256, list(1, true, List.of()),
+                    TestPlatform.told()));
+            its.net.runFor(5 * SECOND + ms * MS); // refused again and again, the old one stands
+            assertEquals(1, its.catalog.watches.size());
+            its.catalog.watches.get(0).reset("gone");
+            its.net.runFor(MS);
+            TestPlatform.Catalogue other = its.new Catalogue(later);
+            its.net.runFor(4 * SECOND);
+            assertEquals(1, other.watches.size(), "at " + ms + " ms");
+            assertEquals(1, other.asked.size(), "at " + ms + " ms");
+            assertEquals(List.of(), its.faults);
+        }
+    }
+
+    @Test
+    void aLineThatNeverEndsIsNoSignOfLife() {
+        platform.serve();
+        platform.catalog.beats = false;
+        for (int i = 0; i < 10 && platform.catalog.asked.size() < 2; i++) {
+            platform.catalog.tell("{");
+            run(SECOND);
+        }
+        assertEquals(2, platform.catalog.asked.size());
+    }
+
     // ---- streams -------------------------------------------------------------------------------------
 
     @Test
@@ -261,6 +293,33 @@
         assertNull(before.over);
     }
 
+    @Test
+    void aHelloThatWaitsUnreadIsHeardBeforeItsSenderIsTurnedAway() {
+        platform.serve(64, list(1, true, List.copyOf(platform.instances.values())));
+        List<Client> waiting = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            waiting.add(platform.client());
+        }
+        run(MS);
+        Client oldest = waiting.get(0).join(1, "south", 1);
+        platform.client(); // both arrive at once, and the door is looked at first
+        run(50 * MS);
+        assertNull(oldest.over, "it had joined");
+        assertEquals(1, platform.service.joinedCount());
+        assertNotNull(waiting.get(1).over, "the next oldest went");
+    }
+
+    @Test
+    void whenAllDescriptorsAreTakenByProxiesTheNextOneIsTurnedAwayAtOnce() {
+        platform.serve(64, list(1, true, List.copyOf(platform.instances.values())));
+        for (int i = 0; i < 8; i++) {
+            assertNull(joined(i).over);
+        }
+        Client ninth = joined(8);
+        assertNotNull(ninth.over, "it can go to another controller");
+        assertEquals(8, platform.service.openPeers());
+    }
+
     @Test
     void withoutADescriptorAcceptingRestsAndGoesOn() {
         platform.serve();
--- a/src/test/java/rowanmoor/platform/TestPlatform.java
+++ b/src/test/java/rowanmoor/platform/TestPlatform.java
@@ -42,12 +42,12 @@
              "rules":{"drain_grace_ns":2500000000,"cold_ns":12000000000,"cold_from":0.2,
                "overload_factor":4.0,"fall_ns":1500000000},"tick_ns":5000000}""";
 
-    final MemoryNet net = new MemoryNet(START, 11);
+    final MemoryNet net;
     final List<Throwable> faults = new ArrayList<>();
     final List<String> log = new ArrayList<>();
-    final Loop loop = net.loop(faults::add);
+    final Loop loop;
     final TreeMap<String, Map<String, Object>> instances = new TreeMap<>();
-    final Catalogue catalog = new Catalogue();
+    final Catalogue catalog;
     long probesAnswered;
     Service service;
 
@@ -100,6 +100,13 @@
 
     /** Six instances, the even ones in the north, all of which answer probes. */
     TestPlatform() {
+        this(11);
+    }
+
+    TestPlatform(long seed) {
+        net = new MemoryNet(START, seed);
+        loop = net.loop(faults::add);
+        catalog = new Catalogue(ANY);
         for (int i = 0; i < 6; i++) {
             put("s-" + i, i % 2 == 0 ? "north" : "south", "in_service", 0);
         }
@@ -124,8 +131,13 @@
     }
 
     InetSocketAddress listen(java.util.function.Function<Connection, Handler> accept) {
+        return listen(ANY, accept);
+    }
+
+    private InetSocketAddress listen(InetSocketAddress at,
+            java.util.function.Function<Connection, Handler> accept) {
         try {
-            return loop.listen(ANY, Connection.Options.usual(), accept).address();
+            return loop.listen(at, Connection.Options.usual(), accept).address();
         } catch (java.io.IOException e) {
             throw new AssertionError(e);
         }
@@ -158,10 +170,13 @@
         boolean beats = true;
         String first;
 
-        Catalogue() {
-            address = listen(connection -> new Handler() {
+        Catalogue(InetSocketAddress at) {
+            address = listen(at, connection -> new Handler() {
                 @Override
                 public void received(Connection its, ByteBuffer bytes) {
+                    if (watches.contains(its)) {
+                        return; // the rest of a question that came in pieces
+                    }
                     byte[] all = new byte[bytes.remaining()];
                     bytes.get(all);
                     asked.add(new String(all, StandardCharsets.ISO_8859_1).lines().findFirst().orElse(""));
