--- a/src/main/java/rowanmoor/ControlApi.java
+++ b/src/main/java/rowanmoor/ControlApi.java
@@ -104,7 +104,18 @@
 
     record Mark(int number) implements Action { }
 
-    record Bind(int proxy, int table, int classes) implements Action { }
+    /**
+     * From now on the proxy uses this table for these classes.
+     *
+     * @param letBack backends of the table that the proxy may still shut out on an earlier instance's order
+     */
+    record Bind(int proxy, int table, int classes, List<Backend> letBack) implements Action {
+
+        /** Of a proxy that shuts out none of the table's backends. */
+        public Bind(int proxy, int table, int classes) {
+            this(proxy, table, classes, List.of());
+        }
+    }
 
     record TimerAt(long time, long token) implements Action { }
 
--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -69,6 +69,7 @@
         boolean bound;
         double present; // its part in the smoothed sums of reports: 0 before its first round, towards 1
         long leftAt;
+        long joinedAt;
         final double[] usage;
         final double[] newUsage;
         final double[] newSpan;
@@ -84,8 +85,9 @@
             pools = new Pool[groups];
         }
 
-        void join(int itsZone) {
+        void join(int itsZone, long now) {
             zone = itsZone;
+            joinedAt = now;
             joined = true;
             Arrays.fill(newUsage, 0); // what was told late of its time before
             Arrays.fill(newSpan, 0);
@@ -129,6 +131,7 @@
         final TreeMap<Backend, Double> sent = new TreeMap<>();
         final TreeMap<Integer, ProxyState> users = new TreeMap<>();
         final Map<Integer, Double> levels = new TreeMap<>();
+        ControlApi.Retry retry; // as sent with them
 
         final Map<Backend, Integer> holders; // of its set: how many pools hold each backend
 
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -34,6 +34,7 @@
     private static final double TRICKLE = 0.03; // part of a table spread over all zones: a way out
     // Warmth below which a backend stays out, if enough are warm; and in overload or where proxies shun.
     private static final double HOLD = 0.35, HOLD_IN_OVERLOAD = 0.6;
+    private static final long AWAY = 5_000_000_000L; // how long a proxy may be between two streams, ns
     private static final double LEAST_WEIGHT = 1e-9; // for those of no weight, where there are no others
     private static final double COLD_MOST = 3; // times its part of demand, that a cold backend has in a table
     private static final double WORTH_SENDING = 0.1, LEVEL_WORTH_SENDING = 0.03; // relative changes sent
@@ -119,6 +120,7 @@
     private final LevelRecord record;
     private LevelRecord.Reason reason = LevelRecord.Reason.DEMAND;
     private boolean reportsCame, urgent, joined, watching;
+    private Retry retry = RETRY; // as tries fail now
     private long nextRound, learnedAt, askAt, nextMessage, drainedAt;
     private int roundsHeard, askFailures, overloadedRounds;
     private double total = Double.POSITIVE_INFINITY, proven, usualCapacity, queued = 1, allowance = 1e9;
@@ -143,7 +145,7 @@
         if (event instanceof Members members) {
             hearList(now, members);
         } else if (event instanceof ProxyJoined joined) {
-            join(joined);
+            join(now, joined);
         } else if (event instanceof ProxyLeft left && proxies.containsKey(left.proxy())) {
             proxies.get(left.proxy()).leave(left.proxy(), now);
             joining.remove(left.proxy());
@@ -267,10 +269,13 @@
         double gap = (learnedAt == 0 ? roundLength : now - learnedAt) / SECOND;
         double seconds = Math.min(gap, Math.max(roundLength / SECOND, told));
         learnedAt = now;
+        double tries = backends.values().stream().mapToDouble(s -> s.all.newTries).sum();
+        double failed = backends.values().stream().mapToDouble(s -> s.all.newFailed).sum();
         for (BackendState state : backends.values()) {
             state.all.learn(SMOOTH, ENOUGH);
             Arrays.stream(state.paths).forEach(p -> p.learn(SMOOTH, ENOUGH));
         }
+        learnRetry(tries, failed);
         for (int region = 0; region < regions; region++) { judgePaths(now, region); }
         handOver(now);
         learnUsage(now, seconds);
@@ -278,6 +283,18 @@
         setLevels();
     }
 
+    // Second tries of what full backends turn away are half of a jam's load. They stop before the jam counts
+    // as overload, which takes most backends: one that comes in cold then draws them all. Not where backends
+    // are dead and the others have room: there second tries are what saves requests.
+    private void learnRetry(double tries, double failed) {
+        List<BackendState> known = backends.values().stream().filter(s -> s.quiet > 0
+                && s.all.lastLatency > 0).toList();
+        long slower = known.stream().filter(s -> s.all.lastLatency > SLOWER * s.quiet).count();
+        boolean waits = settings.columns().queue() >= 0 ? queued > WAITING : slower * 2 > known.size();
+        boolean failing = failed > (retry == RETRY ? 2 : 1) * OVERLOAD_FAILED * tries;
+        if (tries >= ENOUGH && (!failing || waits)) { retry = failing ? Retry.NEVER : RETRY; }
+    }
+
     // Rests a path that fails far more than its peers (fast failers, dead and cut-off backends) and lightens
     // one that is far slower. Full backends fail too: partial failures rest few, and none under overload.
     private void judgePaths(long now, int region) {
@@ -669,11 +686,11 @@
 
     // ---- 5. Sender --------------------------------------------------------------------------------------
 
-    private void join(ProxyJoined joined) {
+    private void join(long now, ProxyJoined joined) {
         ProxyState proxy = proxies.computeIfAbsent(joined.proxy(),
                 p -> new ProxyState(levels.length, groups.size()));
         boolean stays = proxy.pools[0] != null && region(proxy.zone) == region(joined.zone());
-        proxy.join(joined.zone());
+        proxy.join(joined.zone(), now);
         if (proxy.pools[0] == null) { Arrays.fill(proxy.usage, joined.rate() / levels.length); }
         for (int g = 0; g < groups.size(); g++) {
             proxy.use(joined.proxy(), stays ? proxy.pools[g] : Collections.min(
@@ -747,6 +764,7 @@
             for (Pool pool : proxy.pools) {
                 lines += 1 + pool.sent.size() + groups.get(pool.group).size();
                 lines += pool.sent.keySet().stream().filter(b -> backends.get(b).withdrawn).count();
+                lines += letBack(now, proxy, pool).size();
             }
             double over = sent.waiting() + lines + settings.channel().head() + 1 - most;
             if (sent.waiting() > 0 && over > 0) {
@@ -756,7 +774,7 @@
             }
             for (Pool pool : proxy.pools) {
                 int classes = groups.get(pool.group).stream().mapToInt(c -> 1 << c).sum();
-                actions.add(new Bind(number, pool.table, classes));
+                actions.add(new Bind(number, pool.table, classes, letBack(now, proxy, pool)));
             }
             sent.book(proxy, lines, settings.channel().head() + 1);
             proxy.bound = true;
@@ -764,6 +782,15 @@
         }
     }
 
+    // A proxy shuts out on another instance's order what that one had no time to let back: backends that were
+    // too cold at the latest when it was away.
+    private List<Backend> letBack(long now, ProxyState proxy, Pool pool) {
+        return proxy.bound ? List.of() : pool.sent.keySet().stream().filter(b -> {
+            BackendState state = backends.get(b);
+            return !state.withdrawn && state.warmth(proxy.joinedAt - AWAY) < HOLD_IN_OVERLOAD;
+        }).toList();
+    }
+
     private void order(Action action, Collection<ProxyState> users) {
         actions.add(action);
         users.forEach(proxy -> sent.book(proxy, 1, settings.channel().head() + 1));
@@ -857,11 +884,13 @@
         for (Pool pool : pools.values().stream().flatMap(List::stream).toList()) {
             for (int cls : groups.get(pool.group)) {
                 Double sent = pool.levels.get(cls);
-                if (sent == null || Math.abs(levels[cls] / sent - 1) > LEVEL_WORTH_SENDING) {
+                boolean other = sent == null || Math.abs(levels[cls] / sent - 1) > LEVEL_WORTH_SENDING;
+                if (other || pool.retry != retry) {
                     pool.levels.put(cls, levels[cls]);
-                    order(new Admit(pool.table, 1 << cls, levels[cls], RETRY), pool.bound());
+                    order(new Admit(pool.table, 1 << cls, levels[cls], retry), pool.bound());
                 }
             }
+            pool.retry = retry;
         }
     }
 }
--- a/src/main/java/rowanmoor/host/Fanout.java
+++ b/src/main/java/rowanmoor/host/Fanout.java
@@ -174,6 +174,7 @@
         }
         add(messages, bind.proxy(), new Frame.Bind(set, store.whole(bind.table()),
                 store.withdrawnOf(bind.table())));
+        bind.letBack().forEach(b -> add(messages, bind.proxy(), new Frame.Withdraw(b, false)));
     }
 
     private static void add(TreeMap<Integer, List<Frame.Order>> messages, int proxy, Frame.Order order) {
--- a/src/test/java/rowanmoor/ArithmeticTest.java
+++ b/src/test/java/rowanmoor/ArithmeticTest.java
@@ -202,7 +202,7 @@
     @Test
     void aProxyThatLeavesTwiceCountsForOneLease() {
         Fleet.ProxyState proxy = new Fleet.ProxyState(2, 0);
-        proxy.join(0);
+        proxy.join(0, 0);
         proxy.leave(1, 5 * SECOND);
         proxy.leave(1, 12 * SECOND);
         assertEquals(5 * SECOND, proxy.leftAt);
@@ -211,11 +211,11 @@
     @Test
     void aReportThatComesAfterItsProxyLeftIsNotCountedWhenItReturns() {
         Fleet.ProxyState proxy = new Fleet.ProxyState(2, 0);
-        proxy.join(0);
+        proxy.join(0, 0);
         proxy.hear(new ControlApi.Usage(1, 0, 10, 0, SECOND));
         proxy.leave(1, SECOND);
         proxy.hear(new ControlApi.Usage(1, 0, 10, 0, SECOND));
-        proxy.join(1);
+        proxy.join(1, 0);
         assertEquals(0, proxy.newUsage[0]);
         assertEquals(0, proxy.newSpan[0]);
         assertFalse(proxy.heard);
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import rowanmoor.ControlApi.Action;
 import rowanmoor.ControlApi.Admit;
+import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Bind;
 import rowanmoor.ControlApi.Effect;
 import rowanmoor.ControlApi.ListKind;
@@ -174,6 +175,46 @@
         }
     }
 
+    /** A short day of a release: second tries of a jam not seen yet pushed over those that had just come in. */
+    @Test
+    void secondTriesStopWhileATenthOfAllTriesFailsAndReturnUnderATwentieth() {
+        stand.start(10, 4);
+        int[] failedOf100 = {0, 11, 9, 11, 6, 4};
+        int[] latency = {100, 110, 200, 200, 200, 200}; // ms; the second: some are dead, the others have room
+        Retry[] expected = {Retry.ONCE_UNRUN, Retry.ONCE_UNRUN, Retry.ONCE_UNRUN, Retry.NEVER, Retry.NEVER,
+            Retry.ONCE_UNRUN};
+        for (int step = 0; step < expected.length; step++) {
+            for (int i = 0; i < 10; i++) { // one backend in ten brings all of it: no overload
+                stand.logic.on(stand.now, new Tally(Stand.backend(i), 0, 100, i == 0 ? 10 * failedOf100[step] : 0,
+                        latency[step] * MS, SECOND, List.of()));
+            }
+            stand.second();
+            stand.second();
+            assertEquals(expected[step], stand.levels.get(0).get(stand.bound.get(0).get(0)).retry(), "step " + step);
+            assertEquals(expected[step], stand.levels.get(1).get(stand.bound.get(1).get(1)).retry(), "step " + step);
+        }
+    }
+
+    @Test
+    void aProxyThatComesIsToldToLetBackWhatWarmedUpWhileItWasAway() {
+        stand.start(6, 4);
+        stand.hear(new Members(ListKind.DELTA, 2, List.of(Stand.member(2, 0, Listed.READY, stand.now))));
+        for (int i = 0; i < 3; i++) {
+            stand.second();
+        }
+        assertFalse(stand.withdrawn.get(Stand.backend(2)), "let in by now");
+        stand.hear(new ProxyLeft(1), new ProxyJoined(1, 0, 20, false));
+        List<Backend> letBack = stand.last.stream().filter(Bind.class::isInstance).map(Bind.class::cast)
+                .filter(b -> b.proxy() == 1).flatMap(b -> b.letBack().stream()).distinct().toList();
+        assertEquals(List.of(Stand.backend(2)), letBack);
+        for (int i = 0; i < 10; i++) {
+            stand.second();
+        }
+        stand.hear(new ProxyLeft(1), new ProxyJoined(1, 0, 20, false));
+        assertTrue(stand.last.stream().filter(Bind.class::isInstance).map(Bind.class::cast)
+                .allMatch(b -> b.letBack().isEmpty()), "long warm");
+    }
+
     @Test
     void aRestartHeardWithoutALossIsHeldToo() {
         stand.start(4, 4);
--- a/src/test/java/rowanmoor/host/FanoutTest.java
+++ b/src/test/java/rowanmoor/host/FanoutTest.java
@@ -9,6 +9,7 @@
 import rowanmoor.ControlApi.Bind;
 import rowanmoor.ControlApi.SetLine;
 import rowanmoor.ControlApi.Withdraw;
+import rowanmoor.channel.Frame;
 
 /** Whom an order concerns. */
 class FanoutTest {
@@ -30,4 +31,13 @@
         assertEquals(Set.of(1, 3), fanout.messages(List.of(new Withdraw(BACKEND, false))).keySet());
         assertEquals(Set.of(1), fanout.messages(List.of(new Withdraw(BACKEND, true, true))).keySet());
     }
+
+    @Test
+    void whatABindLetsBackIsToldBehindItsTable() {
+        fanout.join(1);
+        List<Frame.Order> told = fanout.messages(List.of(new SetLine(0, BACKEND, 1),
+                new Bind(1, 0, 0, List.of(BACKEND)))).get(1);
+        assertEquals(2, told.size());
+        assertEquals(new Frame.Withdraw(BACKEND, false), told.get(1));
+    }
 }
