--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -129,7 +129,8 @@
     public Logic(Settings settings, long seed) {
         this.settings = settings;
         this.random = new Random(seed);
-        this.regions = settings.crossZonePrice() >= ZONE_TABLE_PRICE ? settings.zones() : 1;
+        boolean ownZones = settings.classes().stream().anyMatch(ClassSpec::ownZone);
+        this.regions = ownZones || settings.crossZonePrice() >= ZONE_TABLE_PRICE ? settings.zones() : 1;
         this.roundLength = Math.max(ROUND, settings.period());
         this.tightestAim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
         this.byWorth = IntStream.range(0, settings.classes().size()).boxed()
@@ -428,6 +429,7 @@
         left.replaceAll((backend, can) -> can * asked / Math.max(1e-9, capacity));
         Map<Pool, TreeMap<Backend, Double>> laid = new LinkedHashMap<>();
         for (int g = 0; g < groups.size(); g++) {
+            int group = g;
             TreeMap<Backend, Double> part = new TreeMap<>();
             for (BackendState state : backends.values()) {
                 Backend backend = state.member.backend();
@@ -440,7 +442,11 @@
             part.replaceAll((backend, share) -> share * scale);
             part.forEach((backend, share) -> left.merge(backend, -share, Double::sum));
             for (int r = 0; r < regions; r++) {
-                TreeMap<Backend, Double> flows = lines(now, r, part, demands.get(g));
+                TreeMap<Backend, Double> open = new TreeMap<>(part);
+                int own = r;
+                open.keySet().removeIf(b -> spec(group).ownZone()
+                        && region(backends.get(b).member.zone()) != own);
+                TreeMap<Backend, Double> flows = lines(now, r, open, demands.get(g));
                 List<Pool> set = pools(g, r);
                 set.forEach(p -> p.demand = demand(p));
                 deal(r, flows, set);
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -24,6 +24,7 @@
 import rowanmoor.ControlApi.ProxyJoined;
 import rowanmoor.ControlApi.ProxyLeft;
 import rowanmoor.ControlApi.Retry;
+import rowanmoor.ControlApi.Settings;
 import rowanmoor.ControlApi.SetLine;
 import rowanmoor.ControlApi.Tally;
 import rowanmoor.ControlApi.TimerAt;
@@ -175,6 +176,40 @@
         }
     }
 
+    /** A variant of the bench's deployments: the class went everywhere, whatever crossing zones cost. */
+    @Test
+    void aClassThatKeepsToItsZoneHasNoLineElsewhereAndOthersMay() {
+        for (double price : new double[] {0.01, 0.05}) {
+            Settings s = TestSettings.plain();
+            ControlApi.ClassSpec home = s.classes().get(0);
+            home = new ControlApi.ClassSpec(home.aim(), home.deadline(), 1, 0, Effect.SAFE, home.group(), home.window(),
+                    false, true, Set.of(), Set.of());
+            Stand zones = new Stand(new Settings(1, 3, List.of(home, s.classes().get(1)), false, false, s.admission(), 0,
+                    8, 0, SECOND, 500, price, s.columns(), s.rules(), s.channel()));
+            List<ControlApi.Member> members = new ArrayList<>();
+            for (int i = 0; i < 9; i++) {
+                members.add(Stand.member(i, i % 3, Listed.READY, 0));
+            }
+            zones.hear(new Members(ListKind.FULL, 1, members));
+            for (int p = 0; p < 6; p++) {
+                zones.hear(new ProxyJoined(p, p % 3, 20, true));
+            }
+            for (int i = 0; i < 20; i++) { // all of one zone fail, and one is drained
+                zones.report(9, 3, b -> b % 3 == 1 ? 10 : 0, b -> 100 * MS);
+                zones.hear(new Members(ListKind.DELTA, 2 + i, List.of(Stand.member(2, 2, i < 5 ? Listed.READY
+                        : Listed.DRAINING, 0))));
+            }
+            for (int p = 0; p < 6; p++) {
+                int zone = p % 3;
+                Map<Backend, Double> lines = zones.tables.get(zones.bound.get(p).get(0));
+                assertTrue(List.of(Stand.backend(zone), Stand.backend(zone + 3), Stand.backend(zone + 6))
+                        .containsAll(lines.keySet()), "proxy of zone " + zone + ": " + lines);
+                assertFalse(lines.isEmpty());
+                assertTrue(zones.tables.get(zones.bound.get(p).get(1)).size() > 3, "the other class has a way out");
+            }
+        }
+    }
+
     /** A short day of a release: second tries of a jam not seen yet pushed over those that had just come in. */
     @Test
     void secondTriesStopWhileATenthOfAllTriesFailsAndReturnUnderATwentieth() {
--- a/src/test/java/rowanmoor/platform/SocketEndsTest.java
+++ b/src/test/java/rowanmoor/platform/SocketEndsTest.java
@@ -70,7 +70,12 @@
             proxy.hearWith("full", "1");
             stuff(1);
             proxy.socket.shutdownOutput();
-            platform.await(() -> platform.service.joinedCount() == 0);
+            int[] open = new int[1];
+            platform.await(() -> {
+                open[0] = platform.service.openPeers();
+                return platform.service.joinedCount() == 0;
+            });
+            assertEquals(1, open[0], "the leave does not wait for the descriptor");
             platform.await(() -> platform.service.openPeers() == 0);
         }
     }
