--- a/src/main/java/rowanmoor/platform/Messages.java
+++ b/src/main/java/rowanmoor/platform/Messages.java
@@ -28,15 +28,15 @@
         this.told = told;
     }
 
-    Message read(List<String> parts) throws Spoilt {
+    Message read(List<String> parts) throws MalformedMessageException {
         String kind = parts.get(0);
         if (parts.size() % 2 == 0) {
-            throw new Spoilt(cut(kind) + ": a field without a value");
+            throw new MalformedMessageException(cut(kind) + ": a field without a value");
         }
         Map<String, String> fields = new HashMap<>();
         for (int i = 1; i < parts.size(); i += 2) {
             if (fields.put(parts.get(i), parts.get(i + 1)) != null) {
-                throw new Spoilt(cut(kind) + " " + cut(parts.get(i)) + ": given twice");
+                throw new MalformedMessageException(cut(kind) + " " + cut(parts.get(i)) + ": given twice");
             }
         }
         From from = new From(kind, fields);
@@ -49,11 +49,11 @@
                     from.time("latency"));
             case "outcomes" -> outcomes(from);
             case "demand" -> demand(from);
-            default -> throw new Spoilt("no kind that is heard here: " + cut(kind));
+            default -> throw new MalformedMessageException("no kind that is heard here: " + cut(kind));
         };
     }
 
-    private Message outcomes(From from) throws Spoilt {
+    private Message outcomes(From from) throws MalformedMessageException {
         long tries = from.whole("total", COUNT_MOST);
         long failed = from.whole("errors", tries);
         long latency = tries > failed || from.has("rtt") ? from.time("rtt") : 0;
@@ -63,7 +63,7 @@
                 failed, tries > failed ? latency : 0, from.span(), load);
     }
 
-    private Message demand(From from) throws Spoilt {
+    private Message demand(From from) throws MalformedMessageException {
         long requests = from.whole("total", COUNT_MOST);
         // What came in one interval may fail in the next: errors are not bounded by the total.
         return new Message.Demand(from.proxy(), from.place("route", told.classes()), requests,
@@ -71,12 +71,13 @@
     }
 
     /** A load report's figures in the settings' order; empty if one of them is missing. */
-    static List<Double> load(String what, String text, String between, List<String> columns) throws Spoilt {
+    static List<Double> load(String what, String text, String between, List<String> columns)
+            throws MalformedMessageException {
         Map<String, Double> figures = new HashMap<>();
         for (String pair : text.isEmpty() ? new String[0] : text.split(",")) {
             int at = pair.indexOf(between);
             if (at <= 0) {
-                throw new Spoilt(what + " metrics: not a name and a value: " + cut(pair));
+                throw new MalformedMessageException(what + " metrics: not a name and a value: " + cut(pair));
             }
             figures.put(pair.substring(0, at).trim(),
                     figure(what + " metrics", pair.substring(at + 1).trim(), Double.MAX_VALUE));
@@ -92,7 +93,7 @@
         return List.copyOf(values);
     }
 
-    private static double figure(String what, String text, double most) throws Spoilt {
+    private static double figure(String what, String text, double most) throws MalformedMessageException {
         double value = Double.NaN;
         // Letters would let in what Java takes for numbers and the platform does not: 1f, 0x1p3, NaN.
         if (text.length() <= 40 && text.chars().allMatch(c -> "0123456789.+-eE".indexOf(c) >= 0)) {
@@ -103,12 +104,12 @@
             }
         }
         if (!(value >= 0 && value <= most)) {
-            throw new Spoilt(what + ": no number, or out of range: " + cut(text));
+            throw new MalformedMessageException(what + ": no number, or out of range: " + cut(text));
         }
         return value;
     }
 
-    /** What strangers sent, short enough and plain enough for a log. */
+    /** What peers sent, short enough and plain enough for a log. */
     static String cut(String text) {
         String plain = text.length() > 40 ? text.substring(0, 40) + "..." : text;
         return plain.replaceAll("[^\\x20-\\x7e]", "?");
@@ -128,47 +129,48 @@
             return fields.containsKey(field);
         }
 
-        String text(String field) throws Spoilt {
+        String text(String field) throws MalformedMessageException {
             String value = fields.get(field);
             if (value == null) {
-                throw new Spoilt(kind + " " + field + ": missing");
+                throw new MalformedMessageException(kind + " " + field + ": missing");
             }
             return value;
         }
 
-        double number(String field, double most) throws Spoilt {
+        double number(String field, double most) throws MalformedMessageException {
             return figure(kind + " " + field, text(field), most);
         }
 
-        long whole(String field, long most) throws Spoilt {
+        long whole(String field, long most) throws MalformedMessageException {
             String text = text(field);
             if (text.isEmpty() || text.length() > 10 || !text.chars().allMatch(c -> c >= '0' && c <= '9')
                     || Long.parseLong(text) > most) {
-                throw new Spoilt(kind + " " + field + ": no whole number, or out of range: " + cut(text));
+                throw new MalformedMessageException(
+                        kind + " " + field + ": no whole number, or out of range: " + cut(text));
             }
             return Long.parseLong(text);
         }
 
-        int proxy() throws Spoilt {
+        int proxy() throws MalformedMessageException {
             return (int) whole("node", told.settings().proxies() - 1);
         }
 
-        int place(String field, List<String> names) throws Spoilt {
+        int place(String field, List<String> names) throws MalformedMessageException {
             int place = names.indexOf(text(field));
             if (place < 0) {
-                throw new Spoilt(kind + " " + field + ": unknown: " + cut(text(field)));
+                throw new MalformedMessageException(kind + " " + field + ": unknown: " + cut(text(field)));
             }
             return place;
         }
 
-        long time(String field) throws Spoilt {
+        long time(String field) throws MalformedMessageException {
             return Math.round(number(field, MILLIS_MOST) * MILLI);
         }
 
-        long span() throws Spoilt {
+        long span() throws MalformedMessageException {
             long span = time("interval");
             if (span <= 0) {
-                throw new Spoilt(kind + " interval: nothing was counted over no time");
+                throw new MalformedMessageException(kind + " interval: nothing was counted over no time");
             }
             return span;
         }
--- a/src/main/java/rowanmoor/platform/Peer.java
+++ b/src/main/java/rowanmoor/platform/Peer.java
@@ -13,7 +13,7 @@
 import rowanmoor.resp.RespWriter;
 
 /**
- * One connection at the controller's address. States: stranger (neither joined nor named a zone), proxy,
+ * One connection at the controller's address. States: unjoined (neither joined nor named a zone), proxy,
  * collector, over. Whatever its peer does wrong costs this connection alone.
  */
 final class Peer implements Handler {
@@ -22,10 +22,10 @@
     interface Owner {
 
         /** A message; throws if it makes no sense. */
-        void heard(Peer peer, List<String> parts) throws Spoilt;
+        void heard(Peer peer, List<String> parts) throws MalformedMessageException;
 
-        /** A spoilt message of a proxy or collector: it alone is dropped. */
-        void dropped(Peer peer, Spoilt why);
+        /** A malformed message of a proxy or collector: it alone is dropped. */
+        void dropped(Peer peer, MalformedMessageException why);
 
         /** Nothing more is heard of it. */
         void over(Peer peer, String why);
@@ -35,9 +35,9 @@
     }
 
     /** What it turned out to be. */
-    enum Role { STRANGER, PROXY, COLLECTOR }
+    enum Role { UNJOINED, PROXY, COLLECTOR }
 
-    private static final int STRANGER_BYTES = 4096;
+    private static final int UNJOINED_BYTES = 4096;
     private static final int PARTS_MOST = 256;
     private static final int MARKS_KEPT = 512;
     /** In how long its last words have to be taken, however slowly it reads. */
@@ -46,11 +46,11 @@
     private final Loop loop;
     private final Owner owner;
     private final long joinWithin;
-    private final RespReader reader = new RespReader(STRANGER_BYTES, PARTS_MOST);
+    private final RespReader reader = new RespReader(UNJOINED_BYTES, PARTS_MOST);
     private final ArrayDeque<Integer> marks = new ArrayDeque<>();
     private Connection connection;
     private Timer patience; // for its joining, and after it is over for its last words
-    private Role role = Role.STRANGER;
+    private Role role = Role.UNJOINED;
     private int number = -1;
     private boolean over;
 
@@ -113,8 +113,8 @@
     private void take(List<String> parts) {
         try {
             owner.heard(this, parts);
-        } catch (Spoilt e) {
-            if (role == Role.STRANGER) {
+        } catch (MalformedMessageException e) {
+            if (role == Role.UNJOINED) {
                 end(e.getMessage());
             } else {
                 owner.dropped(this, e);
--- a/src/main/java/rowanmoor/platform/Service.java
+++ b/src/main/java/rowanmoor/platform/Service.java
@@ -45,7 +45,7 @@
     private static final int PROBES_AT_ONCE = 8;
     /** Descriptors kept back: the JVM's own, the catalog's two, probes, and the listener. */
     private static final int KEPT_BACK = 48 + PROBES_AT_ONCE;
-    private static final int STRANGERS_LEAST = 8;
+    private static final int UNJOINED_LEAST = 8;
     private static final int COLLECTORS_A_ZONE = 3;
     private static final long UNREAD_MOST = 128 << 10;
     private static final int MESSAGES_UNREAD_MOST = 8192;
@@ -73,12 +73,12 @@
     private final Beliefs beliefs; // null unless it is switched on
     private final Map<Integer, Peer> proxies = new HashMap<>();
     private final TreeMap<Integer, ArrayDeque<Peer>> collectors = new TreeMap<>();
-    private final LinkedHashSet<Peer> strangers = new LinkedHashSet<>();
+    private final LinkedHashSet<Peer> unjoined = new LinkedHashSet<>();
     private final Ticks ticks;
     private int open;
     private long troubleSecond;
     private long troublesTold;
-    private long spoilt;
+    private long malformed;
     private long turnedAway;
     private long decides;
     private long decideTime;
@@ -146,8 +146,8 @@
         try {
             return Messages.load("load report", new String(body, StandardCharsets.UTF_8).trim(), "=",
                     config.told().columns());
-        } catch (Spoilt e) {
-            spoilt++;
+        } catch (MalformedMessageException e) {
+            malformed++;
             trouble(e.getMessage());
             return List.of();
         }
@@ -170,11 +170,11 @@
     private Peer accept() {
         // Real peers say who they are at once: who has been silent longest goes first. What it has said may
         // not have been read yet, and it may have joined by it.
-        while (!strangers.isEmpty() && (isFull()
-                || strangers.size() >= Math.max(STRANGERS_LEAST, config.sockets() / 2))) {
-            Peer oldest = strangers.iterator().next();
+        while (!unjoined.isEmpty() && (isFull()
+                || unjoined.size() >= Math.max(UNJOINED_LEAST, config.sockets() / 2))) {
+            Peer oldest = unjoined.iterator().next();
             oldest.hearNow();
-            if (strangers.contains(oldest)) {
+            if (unjoined.contains(oldest)) {
                 turnedAway++;
                 oldest.drop("too many that have not joined");
             }
@@ -184,7 +184,7 @@
             return null;
         }
         Peer peer = new Peer(loop, this, JOIN_WITHIN);
-        strangers.add(peer);
+        unjoined.add(peer);
         open++;
         return peer;
     }
@@ -194,20 +194,20 @@
     }
 
     @Override
-    public void heard(Peer peer, List<String> parts) throws Spoilt {
+    public void heard(Peer peer, List<String> parts) throws MalformedMessageException {
         Message message = messages.read(parts);
         if (message instanceof Message.Probe) {
             peer.send(List.of("alive"));
         } else if (message instanceof Message.Hello hello) {
-            expect(peer, Peer.Role.STRANGER, "hello");
+            expect(peer, Peer.Role.UNJOINED, "hello");
             join(peer, hello);
         } else if (message instanceof Message.Agent agent) {
-            expect(peer, Peer.Role.STRANGER, "agent");
+            expect(peer, Peer.Role.UNJOINED, "agent");
             collect(peer, agent.zone());
         } else if (message instanceof Message.Ack ack) {
             expect(peer, Peer.Role.PROXY, "ack");
             if (ack.proxy() != peer.number() || !peer.answers(ack.mark())) {
-                throw new Spoilt("ack node or nonce: not this stream's");
+                throw new MalformedMessageException("ack node or nonce: not this stream's");
             }
             turns.hearStream(new Applied(ack.proxy(), ack.mark(), ack.latency()));
             ticks.soon();
@@ -216,14 +216,15 @@
         }
     }
 
-    private static void expect(Peer peer, Peer.Role role, String kind) throws Spoilt {
+    private static void expect(Peer peer, Peer.Role role, String kind) throws MalformedMessageException {
         if (peer.role() != role) {
-            throw new Spoilt(kind + ": not from a " + peer.role().name().toLowerCase(java.util.Locale.ROOT));
+            throw new MalformedMessageException(kind + ": not from "
+                    + (role == Peer.Role.UNJOINED ? "an unjoined connection" : "a proxy"));
         }
     }
 
     private void join(Peer peer, Message.Hello hello) {
-        strangers.remove(peer);
+        unjoined.remove(peer);
         Peer old = proxies.get(hello.proxy());
         if (old != null) {
             left(old);
@@ -237,7 +238,7 @@
     }
 
     private void collect(Peer peer, int zone) {
-        strangers.remove(peer);
+        unjoined.remove(peer);
         peer.is(Peer.Role.COLLECTOR, zone);
         ArrayDeque<Peer> ofZone = collectors.computeIfAbsent(zone, z -> new ArrayDeque<>());
         ofZone.add(peer);
@@ -246,14 +247,15 @@
         }
     }
 
-    private void report(Peer peer, Message message) throws Spoilt {
-        if (peer.role() == Peer.Role.STRANGER) {
-            throw new Spoilt("a report from one that has not joined");
+    private void report(Peer peer, Message message) throws MalformedMessageException {
+        if (peer.role() == Peer.Role.UNJOINED) {
+            throw new MalformedMessageException("a report from one that has not joined");
         }
         if (message instanceof Message.Outcomes o) {
             Backend backend = names.known(o.instance());
             if (backend == null || !fanout.knows(backend)) {
-                throw new Spoilt("outcomes endpoint: unknown: " + Messages.cut(o.instance()));
+                throw new MalformedMessageException(
+                        "outcomes endpoint: unknown: " + Messages.cut(o.instance()));
             }
             Tally tally = new Tally(backend, o.zone(), o.tries(), o.failed(), o.latency(), o.span(),
                     o.load());
@@ -268,8 +270,8 @@
     }
 
     @Override
-    public void dropped(Peer peer, Spoilt why) {
-        spoilt++;
+    public void dropped(Peer peer, MalformedMessageException why) {
+        malformed++;
         trouble("dropped: " + why.getMessage());
     }
 
@@ -281,11 +283,11 @@
     @Override
     public void over(Peer peer, String why) {
         switch (peer.role()) {
-            case STRANGER -> strangers.remove(peer);
+            case UNJOINED -> unjoined.remove(peer);
             case COLLECTOR -> collectors.get(peer.number()).remove(peer);
             case PROXY -> left(peer);
         }
-        if (peer.role() != Peer.Role.STRANGER) {
+        if (peer.role() != Peer.Role.UNJOINED) {
             trouble(peer.role() + " " + peer.number() + " over: " + why);
         }
     }
@@ -405,8 +407,8 @@
         return open;
     }
 
-    long spoilt() {
-        return spoilt;
+    long malformed() {
+        return malformed;
     }
 
     /** The most that any book of backends holds. */
@@ -429,9 +431,9 @@
 
     private void stats() {
         Runtime runtime = Runtime.getRuntime();
-        log.accept("stats: " + proxies.size() + " proxies, " + strangers.size() + " strangers, " + open
-                + " open, " + names.count() + " names, " + view.remembered() + " listed, " + spoilt
-                + " spoilt, " + Math.round(lines) + " lines ordered, " + turnedAway + " turned away, "
+        log.accept("stats: " + proxies.size() + " proxies, " + unjoined.size() + " unjoined, " + open
+                + " open, " + names.count() + " names, " + view.remembered() + " listed, " + malformed
+                + " malformed, " + Math.round(lines) + " lines ordered, " + turnedAway + " turned away, "
                 + decides + " decides of mean " + decideTime / Math.max(1, decides) / 1000 + " us, longest "
                 + longestDecide / 1000 + " us, heap "
                 + (runtime.totalMemory() - runtime.freeMemory()) / 1024 + " KiB");
--- a/src/test/java/rowanmoor/platform/MessagesTest.java
+++ b/src/test/java/rowanmoor/platform/MessagesTest.java
@@ -17,12 +17,12 @@
 
     private final Messages messages = new Messages(TestPlatform.told());
 
-    private Message read(String words) throws Spoilt {
+    private Message read(String words) throws MalformedMessageException {
         return messages.read(List.of(words.split(" ")));
     }
 
     @Test
-    void messagesKeepTheirMeaning() throws Spoilt {
+    void messagesKeepTheirMeaning() throws MalformedMessageException {
         assertEquals(new Message.Hello(17, 0, 21.5, true), read("hello node 17 locality north w 21.5 cold 1"));
         assertEquals(new Message.Ack(17, 905, 310_400_000), read("ack node 17 nonce 905 latency 310.4"));
         assertEquals(new Message.Outcomes("s-1", 1, 212, 3, 41_700_000, 1_000_000_000, List.of(7.0, 0.6)),
@@ -36,21 +36,21 @@
     }
 
     @Test
-    void absentIsAbsentAndNotZero() throws Spoilt {
+    void absentIsAbsentAndNotZero() throws MalformedMessageException {
         assertEquals(List.of(), ((Message.Outcomes) read(OUTCOMES.replaceAll(" metrics .*", ""))).load());
         assertEquals(List.of(), ((Message.Outcomes) read(OUTCOMES.replace("latency_ms", "other"))).load(),
                 "a report that lacks a figure the settings name tells nothing");
         assertEquals(0, ((Message.Outcomes) read(OUTCOMES.replace(" rtt 41.7", "").replace("errors 3",
                 "errors 212"))).latency(), "no good try, no mean");
-        assertThrows(Spoilt.class, () -> read(OUTCOMES.replace(" rtt 41.7", "")), "good tries without a mean");
+        assertThrows(MalformedMessageException.class, () -> read(OUTCOMES.replace(" rtt 41.7", "")), "good tries without a mean");
     }
 
     @Test
-    void aSpoiltFieldNamesItself() {
-        String[][] spoilt = {{"endpoint s-1", "endpoint"}, {"total 212", "total"}, {"errors 3", "errors"},
+    void aMalformedFieldNamesItself() {
+        String[][] malformed = {{"endpoint s-1", "endpoint"}, {"total 212", "total"}, {"errors 3", "errors"},
             {"rtt 41.7", "rtt"}, {"interval 1000.0", "interval"}, {"locality south", "locality"},
             {"queue:7", "metrics"}};
-        for (String[] field : spoilt) {
+        for (String[] field : malformed) {
             for (String bad : List.of("-1", "NaN", "Infinity", "x", "1e300", "0x1p3", "1f", "")) {
                 if (field[1].equals("endpoint")) { // any text may be an ID
                     continue;
@@ -65,25 +65,25 @@
                 }
                 List<String> sent = parts;
                 if (!fits) {
-                    Spoilt told = assertThrows(Spoilt.class, () -> messages.read(sent), sent.toString());
+                    MalformedMessageException told = assertThrows(MalformedMessageException.class, () -> messages.read(sent), sent.toString());
                     assertTrue(told.getMessage().startsWith("outcomes " + field[1]), told.getMessage());
                 }
             }
         }
-        assertThrows(Spoilt.class, () -> read("demand node 40 route pay total 1 errors 0 interval 1"));
-        assertThrows(Spoilt.class, () -> read("demand node 1 route none total 1 errors 0 interval 1"));
-        assertThrows(Spoilt.class, () -> read("demand node 1 route pay total 1 errors 0 interval 0"));
-        assertThrows(Spoilt.class, () -> read("hello node 1 locality west w 1 cold 0"));
-        assertThrows(Spoilt.class, () -> read("hello node 1 locality north w 1 cold 2"));
-        assertThrows(Spoilt.class, () -> read("hello node 1 locality north w 1"));
-        assertThrows(Spoilt.class, () -> read("hello node 1 node 2 locality north w 1 cold 0"));
-        assertThrows(Spoilt.class, () -> read("ack node 1 nonce 65536 latency 1"));
-        assertThrows(Spoilt.class, () -> read("ack node 1 nonce 5 latency"));
-        assertThrows(Spoilt.class, () -> read("push endpoints s-1:1"));
+        assertThrows(MalformedMessageException.class, () -> read("demand node 40 route pay total 1 errors 0 interval 1"));
+        assertThrows(MalformedMessageException.class, () -> read("demand node 1 route none total 1 errors 0 interval 1"));
+        assertThrows(MalformedMessageException.class, () -> read("demand node 1 route pay total 1 errors 0 interval 0"));
+        assertThrows(MalformedMessageException.class, () -> read("hello node 1 locality west w 1 cold 0"));
+        assertThrows(MalformedMessageException.class, () -> read("hello node 1 locality north w 1 cold 2"));
+        assertThrows(MalformedMessageException.class, () -> read("hello node 1 locality north w 1"));
+        assertThrows(MalformedMessageException.class, () -> read("hello node 1 node 2 locality north w 1 cold 0"));
+        assertThrows(MalformedMessageException.class, () -> read("ack node 1 nonce 65536 latency 1"));
+        assertThrows(MalformedMessageException.class, () -> read("ack node 1 nonce 5 latency"));
+        assertThrows(MalformedMessageException.class, () -> read("push endpoints s-1:1"));
     }
 
     @Test
-    void whateverIsSpoiltOnlyTheMessageIsRefused() {
+    void whateverIsMalformedOnlyTheMessageIsRefused() {
         Random random = new Random(5);
         List<String> words = List.of("outcomes", "demand", "hello", "ack", "agent", "probe", "node", "locality",
                 "endpoint", "total", "errors", "rtt", "interval", "metrics", "route", "w", "cold", "nonce", "north",
@@ -99,7 +99,7 @@
             try {
                 messages.read(parts);
                 read++;
-            } catch (Spoilt e) {
+            } catch (MalformedMessageException e) {
                 assertTrue(e.getMessage().length() < 200, e.getMessage());
             }
         }
--- a/src/test/java/rowanmoor/platform/ServiceTest.java
+++ b/src/test/java/rowanmoor/platform/ServiceTest.java
@@ -211,8 +211,8 @@
                 .say("outcomes locality north endpoint s-1 total x errors 0 rtt 9 interval 1000")
                 .say("demand node 99 route read total 5 errors 0 interval 1000").say("nonsense");
         run(5 * SECOND);
-        assertNull(collector.over, "spoilt reports are dropped alone");
-        assertEquals(3, platform.service.spoilt());
+        assertNull(collector.over, "malformed reports are dropped alone");
+        assertEquals(3, platform.service.malformed());
         collector.raw("?");
         run(SECOND);
         assertTrue(collector.over != null);
@@ -220,14 +220,14 @@
     }
 
     @Test
-    void aSpoiltMessageOfAProxyIsDroppedAlone() {
+    void aMalformedMessageOfAProxyIsDroppedAlone() {
         platform.serve();
         Client proxy = joined(2);
         proxy.say("ack node 2 nonce 60000 latency 5").say("ack node 3 nonce 1 latency 5").say("hello node 2")
                 .say("demand node 2 route read total 5 errors 0 interval -1").say("push full 1");
         run(SECOND);
         assertNull(proxy.over);
-        assertEquals(5, platform.service.spoilt());
+        assertEquals(5, platform.service.malformed());
     }
 
     @Test
@@ -247,27 +247,27 @@
         assertNull(other.over);
     }
 
-    // ---- strangers -----------------------------------------------------------------------------------
+    // ---- unjoined -----------------------------------------------------------------------------------
 
     @Test
-    void strangersGetAnErrorOrACloseWithinTheSecond() {
+    void unjoinedConnectionsGetAnErrorOrACloseWithinTheSecond() {
         platform.serve();
-        List<Client> strangers = new ArrayList<>();
-        strangers.add(platform.client());
+        List<Client> unjoined = new ArrayList<>();
+        unjoined.add(platform.client());
         for (String raw : List.of("GET / HTTP/1.1\r\n\r\n", "*1\r\n$5\r\nprobe", "*99999999\r\n", "\u0000\u0001",
                 "*2\r\n$5\r\nhello\r\n$4\r\n", "*300\r\n", "x".repeat(100_000))) {
-            strangers.add(platform.client().raw(raw));
+            unjoined.add(platform.client().raw(raw));
         }
         for (String words : List.of("hello node 40 locality north w 1 cold 1", "agent locality west",
                 "hello node -1 locality north w 1 cold 1", "demand node 1 route read total 1 errors 0 interval 1",
                 "outcomes locality north endpoint s-1 total 1 errors 0 rtt 1 interval 1", "push full 1", "eh",
                 "ack node 1 nonce 1 latency 1", "probe")) {
-            strangers.add(platform.client().say(words));
+            unjoined.add(platform.client().say(words));
         }
         run(1100 * MS);
-        for (Client stranger : strangers) {
-            boolean error = stranger.heard.stream().anyMatch(m -> m.get(0).equals("error"));
-            assertTrue(error || stranger.over != null, strangers.indexOf(stranger) + " " + stranger.heard);
+        for (Client peer : unjoined) {
+            boolean error = peer.heard.stream().anyMatch(m -> m.get(0).equals("error"));
+            assertTrue(error || peer.over != null, unjoined.indexOf(peer) + " " + peer.heard);
         }
         run(2 * SECOND);
         assertEquals(0, platform.service.openPeers(), "all descriptors are free again");
