--- a/deploy/short-days.sh
+++ b/deploy/short-days.sh
@@ -18,13 +18,13 @@
     timeout --kill-after=10 900 "$bench" "$site" --rough "$day" --seed "$seed" --nodes "$nodes" --no-build \
         --logs "$at.logs" >"$at.txt" 2>&1 || code=$?
     local line verdict=passed why=""
-    line=$(grep -E '^[a-z0-9+]+ +G [0-9]' "$at.txt" | tail -n 1) || true
+    line=$(grep -E '^[a-z0-9+]+ +G -?[0-9]' "$at.txt" | tail -n 1) || true
     if [ -z "$line" ]; then
         printf '%-22s seed %-3s not played: exit %s: %s\n' "$day" "$seed" "$code" "$(tail -n 1 "$at.txt")"
         return
     fi
-    if grep -qE 'RULE BROKEN|[Cc]rash' "$at.txt"; then
-        verdict=FAILED why=$(grep -E 'RULE BROKEN|[Cc]rash' "$at.txt" | head -n 1)
+    if grep -qE 'RULE BROKEN|FAULT|[Cc]rash' "$at.txt"; then
+        verdict=FAILED why=$(grep -E 'RULE BROKEN|FAULT|[Cc]rash' "$at.txt" | head -n 1)
     elif ! grep -q 'rules kept, no fault' "$at.txt"; then
         verdict=FAILED why=$(sed -n 3p "$at.txt")
     elif ! awk '{for (i = 1; i < NF; i++) {if ($i == "served") s = $(i + 1); if ($i == "(gate") g = $(i + 1) + 0}}
