--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -28,131 +28,15 @@
 import rowanmoor.net.Loop;
 import rowanmoor.net.MemoryNet;
 
-/** A proxy between clients and backends that are written out byte by byte, on a network in memory. */
-class ProxyTest {
-
-    private static final long MS = 1_000_000;
-    private static final long SECOND = 1000 * MS;
-    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    private final MemoryNet net = new MemoryNet(SECOND, 5);
-    private final Loop loop = net.loop(e -> {
-        throw new AssertionError(e);
-    });
-    private final List<Far> reached = new ArrayList<>();
-
-    /** One connection that a backend has taken. */
-    private final class Far implements Handler {
-        private final int backend;
-        private final StringBuilder heard = new StringBuilder();
-        private Connection connection;
-        private boolean over;
-
-        Far(int backend, Connection connection) {
-            this.backend = backend;
-            this.connection = connection;
-            reached.add(this);
-        }
-
-        @Override
-        public void received(Connection its, ByteBuffer bytes) {
-            heard.append(StandardCharsets.ISO_8859_1.decode(bytes));
-        }
-
-        @Override
-        public void closed(Connection its, Close why, String detail) {
-            over = true;
-        }
-
-        void say(String text) {
-            connection.send(bytes(text));
-            net.runFor(20 * MS);
-        }
-    }
-
-    /** One client. */
-    private final class Near implements Handler {
-        private final StringBuilder heard = new StringBuilder();
-        private final Connection connection;
-        private boolean over;
-
-        Near(Proxy proxy) {
-            connection = loop.connect(null, proxy.address(), Connection.Options.usual(), this);
-        }
-
-        @Override
-        public void received(Connection its, ByteBuffer bytes) {
-            heard.append(StandardCharsets.ISO_8859_1.decode(bytes));
-        }
-
-        @Override
-        public void closed(Connection its, Close why, String detail) {
-            over = true;
-        }
-
-        Near say(String text) {
-            connection.send(bytes(text));
-            net.runFor(20 * MS);
-            return this;
-        }
-    }
-
-    private static ByteBuffer bytes(String text) {
-        return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
-    private InetSocketAddress backend(int number) throws IOException {
-        return loop.listen(ANY, Connection.Options.usual(), c -> new Far(number, c)).address();
-    }
-
-    private InetSocketAddress refusing() throws IOException {
-        Loop.Listener listener = loop.listen(ANY, Connection.Options.usual(), c -> null);
-        listener.close();
-        return listener.address();
-    }
-
-    private static Site site() throws ConfigError {
-        return Site.of(Section.parse("test.kdl", """
-                site {
-                    zones "a"
-                    kinds "k"
-                    class "read" { prefix "/r"; aim "600ms"; deadline "1.5s"; worth 1; effect "safe" }
-                    class "pay" { prefix "/p"; aim "900ms"; deadline "2s"; worth 1; effect "unsafe"; write #true }
-                    choice "round"
-                    retry "once"
-                    proxies 5
-                    period "1s"
-                    intake "500/s"
-                    rules {
-                        bare "3s"; drain-grace "2s"; cold "10s"; cold-from 0.2; fall-multiple 4; fall-span "1.5s"
-                    }
-                    channel { pace "100/s"; head 4; backlog 4000; late "20ms"; latest "200ms" }
-                }
-                """));
-    }
-
-    private Proxy proxy(UnaryOperator<Conduct> conduct, InetSocketAddress... standing)
-            throws IOException, ConfigError {
-        return Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(refusing()), 0,
-                300 * MS, 3 * SECOND, List.of(standing), 15 * SECOND, 250 * MS, 1000,
-                conduct.apply(Conduct.usual())), loop, new SplittableRandom(1), Tap.NONE);
-    }
-
-    private Proxy proxy(InetSocketAddress... standing) throws IOException, ConfigError {
-        return proxy(c -> c, standing);
-    }
-
-    private static String get(String target, String... fields) {
-        return "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + String.join("", fields) + "\r\n";
-    }
-
-    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+/** What a proxy does with requests, answers, bounds and its stream. */
+class ProxyTest extends ProxyFixture {
 
     @Test
     void aRequestGoesThereAndItsAnswerBackAndConnectionsAreKept() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say(get("/r/1", "X-Request-Id: 7\r\nConnection: x-hop\r\nX-Hop: 1\r\n"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/r/1", "X-Request-Id: 7\r\nConnection: x-hop\r\nX-Hop: 1\r\n"));
         assertEquals(1, reached.size(), client.heard.toString() + client.over);
-        Far far = reached.get(0);
+        BackendEnd far = reached.get(0);
         assertTrue(far.heard.toString().startsWith("GET /r/1 HTTP/1.1\r\n"), far.heard.toString());
         assertTrue(far.heard.toString().toLowerCase().contains("x-request-id: 7\r\n"));
         assertFalse(far.heard.toString().toLowerCase().contains("x-hop"), far.heard.toString());
@@ -168,9 +52,9 @@
     @Test
     void aSlowClientDoesNotMakeTheProxyHoldALargeAnswer() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say(get("/r/1"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/r/1"));
         client.connection.pause();
-        Far far = reached.get(0);
+        BackendEnd far = reached.get(0);
         far.say("HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n");
         long sent = 0;
         for (int i = 0; i < 400 && far.connection.queuedBytes() < 200_000; i++) {
@@ -197,15 +81,15 @@
         for (int size = 40_000; size <= 400_000; size += 20_000) {
             reached.clear();
             Proxy proxy = proxy(backend(1));
-            Near slow = new Near(proxy).say(get("/r/1"));
+            ClientEnd slow = new ClientEnd(proxy).say(get("/r/1"));
             slow.connection.pause();
-            Far far = reached.get(0);
+            BackendEnd far = reached.get(0);
             far.say("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size - 30_000));
             far.say("x".repeat(30_000));
             if (proxy.inflight() > 0) {
                 continue; // paused before its last piece: it goes on when the client reads
             }
-            Near next = new Near(proxy).say(get("/r/2"));
+            ClientEnd next = new ClientEnd(proxy).say(get("/r/2"));
             assertEquals(1, reached.size(), "the connection is kept");
             far.say(OK);
             assertTrue(next.heard.toString().endsWith("ok"), "after " + size + " bytes: " + next.heard);
@@ -215,8 +99,8 @@
     @Test
     void aLargeRequestStreamsAndASlowBackendHoldsItsClientBack() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n");
-        Far far = reached.get(0);
+        ClientEnd client = new ClientEnd(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n");
+        BackendEnd far = reached.get(0);
         assertTrue(far.heard.toString().contains("Content-Length: 8000000\r\n"), "its head goes ahead");
         far.connection.pause();
         long sent = 0;
@@ -239,9 +123,9 @@
     @Test
     void chunksTrailersAndInterimAnswersPass() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say("POST /r/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        ClientEnd client = new ClientEnd(proxy).say("POST /r/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
                 + "Transfer-Encoding: chunked\r\n\r\n");
-        Far far = reached.get(0);
+        BackendEnd far = reached.get(0);
         far.say("HTTP/1.1 100 Continue\r\n\r\n");
         assertEquals("HTTP/1.1 100 Continue\r\n\r\n", client.heard.toString());
         client.say("3\r\nabc\r\n").say("0\r\nX-Sum: 9\r\n\r\n");
@@ -257,7 +141,7 @@
     @Test
     void anAnswerToHeadHasItsLengthAndNoContent() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say("HEAD /r/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        ClientEnd client = new ClientEnd(proxy).say("HEAD /r/1 HTTP/1.1\r\nHost: h\r\n\r\n");
         reached.get(0).say("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
         assertTrue(client.heard.toString().contains("Content-Length: 500\r\n"), client.heard.toString());
         client.say(get("/r/2"));
@@ -271,11 +155,11 @@
     @Test
     void aRefusedClientThatWaitsToSendItsContentCannotHaveItsNextRequestTakenForIt() throws IOException, ConfigError {
         Proxy proxy = proxy();
-        Near client = new Near(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n"
+        ClientEnd client = new ClientEnd(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n"
                 + "Expect: 100-continue\r\n\r\n");
         assertTrue(client.heard.toString().startsWith("HTTP/1.1 503"), client.heard.toString());
         assertTrue(client.heard.toString().contains("Connection: close"));
-        Near plain = new Near(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+        ClientEnd plain = new ClientEnd(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
         plain.say("abcd" + get("/p/2"));
         assertEquals(2, plain.heard.toString().split("HTTP/1.1 503").length - 1, plain.heard.toString());
         assertFalse(plain.over, "short content is read and dropped");
@@ -284,7 +168,7 @@
     @Test
     void aClientOfHttp10GetsContentWithoutChunksAndTheEnd() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say("GET /r/1 HTTP/1.0\r\nHost: h\r\n\r\n");
+        ClientEnd client = new ClientEnd(proxy).say("GET /r/1 HTTP/1.0\r\nHost: h\r\n\r\n");
         reached.get(0).say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
         assertTrue(client.heard.toString().endsWith("\r\n\r\nhi"), client.heard.toString());
         assertTrue(client.over);
@@ -295,8 +179,8 @@
             throws IOException, ConfigError {
         Proxy proxy = proxy(refusing(), backend(2));
         for (int i = 0; i < 4; i++) {
-            Near client = new Near(proxy).say("POST /p/" + i + " HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
-            Far far = reached.get(reached.size() - 1);
+            ClientEnd client = new ClientEnd(proxy).say("POST /p/" + i + " HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+            BackendEnd far = reached.get(reached.size() - 1);
             assertTrue(far.heard.toString().endsWith("\r\n\r\nabc"), "what was held is sent again");
             far.say(OK);
             assertTrue(client.heard.toString().endsWith("ok"), client.heard.toString());
@@ -306,12 +190,12 @@
     @Test
     void aResetAfterTheWriteIsNoProofForAnUnsafeClassAndIsFollowedForASafeOne() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1), backend(2));
-        Near unsafe = new Near(proxy).say(get("/p/1"));
+        ClientEnd unsafe = new ClientEnd(proxy).say(get("/p/1"));
         reached.get(0).connection.reset("test");
         net.runFor(20 * MS);
         assertTrue(unsafe.heard.toString().startsWith("HTTP/1.1 502"), unsafe.heard.toString());
         assertEquals(1, reached.size(), "never twice");
-        Near safe = new Near(proxy).say(get("/r/1"));
+        ClientEnd safe = new ClientEnd(proxy).say(get("/r/1"));
         reached.get(1).connection.reset("test");
         net.runFor(20 * MS);
         assertEquals(3, reached.size());
@@ -322,12 +206,12 @@
     @Test
     void aKeptConnectionThatItsBackendClosesWhileARequestIsWrittenIsNoProof() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1), backend(2));
-        new Near(proxy).say(get("/r/1"));
+        new ClientEnd(proxy).say(get("/r/1"));
         reached.get(0).say(OK);
-        new Near(proxy).say(get("/r/2"));
+        new ClientEnd(proxy).say(get("/r/2"));
         reached.get(1).say(OK);
-        Near client = new Near(proxy).say(get("/p/3"));
-        Far used = reached.get(0).heard.toString().contains("/p/3") ? reached.get(0) : reached.get(1);
+        ClientEnd client = new ClientEnd(proxy).say(get("/p/3"));
+        BackendEnd used = reached.get(0).heard.toString().contains("/p/3") ? reached.get(0) : reached.get(1);
         used.connection.end();
         net.runFor(50 * MS);
         assertTrue(client.heard.toString().startsWith("HTTP/1.1 502"), client.heard.toString());
@@ -337,7 +221,7 @@
     @Test
     void aBackendThatAnswersBeforeItHasReadTheRequestEndsThatConnectionOnly() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say("POST /r/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+        ClientEnd client = new ClientEnd(proxy).say("POST /r/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
         reached.get(0).say("HTTP/1.1 413 Content Too Large\r\nContent-Length: 2\r\n\r\nno");
         assertTrue(client.heard.toString().startsWith("HTTP/1.1 413"), client.heard.toString());
         assertTrue(reached.get(0).over, "its rest would be read as another request");
@@ -350,11 +234,11 @@
     @Test
     void garbageAfterAnAnswerAndASecondAnswerReachNobody() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near first = new Near(proxy).say(get("/r/1"));
+        ClientEnd first = new ClientEnd(proxy).say(get("/r/1"));
         reached.get(0).say(OK + "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged");
         assertTrue(first.heard.toString().endsWith("ok"));
         assertTrue(reached.get(0).over);
-        Near second = new Near(proxy).say(get("/r/2"));
+        ClientEnd second = new ClientEnd(proxy).say(get("/r/2"));
         reached.get(1).say(OK);
         reached.get(1).say("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged");
         assertTrue(reached.get(1).over, "an answer that nothing asked for");
@@ -366,7 +250,7 @@
     @Test
     void aBackendThatNeverAnswersCostsItsClientTheDeadlineAndNoMore() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say(get("/p/1"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/p/1"));
         net.runFor(1900 * MS);
         assertEquals("", client.heard.toString());
         net.runFor(200 * MS);
@@ -378,20 +262,20 @@
     @Test
     void theClientsOwnDeadlineIsHonouredAndShrinksDownTheLine() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say(get("/p/1", "X-Deadline-Ms: 300\r\n"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/p/1", "X-Deadline-Ms: 300\r\n"));
         String heard = reached.get(0).heard.toString();
         int left = Integer.parseInt(heard.replaceAll("(?s).*x-deadline-ms: ([0-9]+)\r.*", "$1"));
         assertTrue(left > 200 && left <= 300, heard);
         net.runFor(350 * MS);
         assertTrue(client.heard.toString().startsWith("HTTP/1.1 504"), client.heard.toString());
-        Near odd = new Near(proxy).say(get("/p/1", "X-Deadline-Ms: soon\r\n"));
+        ClientEnd odd = new ClientEnd(proxy).say(get("/p/1", "X-Deadline-Ms: soon\r\n"));
         assertTrue(odd.heard.toString().startsWith("HTTP/1.1 400"), odd.heard.toString());
     }
 
     @Test
     void aClientThatGoesCancelsItsTry() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say(get("/r/1"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/r/1"));
         client.connection.reset("test");
         net.runFor(50 * MS);
         assertTrue(reached.get(0).over);
@@ -402,7 +286,7 @@
     @Test
     void anAnswerThatBreaksOffBreaksTheClientsOff() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1), backend(2));
-        Near client = new Near(proxy).say(get("/r/1"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/r/1"));
         reached.get(0).say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
         reached.get(0).connection.reset("test");
         net.runFor(20 * MS);
@@ -413,14 +297,14 @@
     @Test
     void aClientOfOneByteASecondIsBoundedAndOthersAreUnharmed() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near slow = new Near(proxy);
+        ClientEnd slow = new ClientEnd(proxy);
         String head = get("/r/1");
         for (int i = 0; i < 12 && !slow.over; i++) {
             slow.connection.send(bytes(head.substring(i, i + 1)));
             net.runFor(SECOND);
         }
         assertTrue(slow.heard.toString().startsWith("HTTP/1.1 408"), slow.heard.toString());
-        Near other = new Near(proxy).say(get("/r/2"));
+        ClientEnd other = new ClientEnd(proxy).say(get("/r/2"));
         reached.get(0).say(OK);
         assertTrue(other.heard.toString().endsWith("ok"));
     }
@@ -431,7 +315,7 @@
         for (String framing : List.of("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
                 "Content-Length: 5\r\nContent-Length: 6\r\n", "Transfer-Encoding: chunked, identity\r\n",
                 "Transfer-Encoding : chunked\r\n", "Content-Length: +5\r\n", "Transfer-Encoding: xchunked\r\n")) {
-            Near client = new Near(proxy).say("POST /r/1 HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n0\r\n\r\n"
+            ClientEnd client = new ClientEnd(proxy).say("POST /r/1 HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n0\r\n\r\n"
                     + get("/r/smuggled"));
             assertTrue(client.heard.toString().matches("(?s)HTTP/1.1 (400|501) .*"), framing + client.heard);
             assertEquals(1, client.heard.toString().split("HTTP/1.1 ").length - 1, framing);
@@ -442,7 +326,7 @@
     @Test
     void anEmptyTableIsAnsweredAtOnce() throws IOException, ConfigError {
         Proxy proxy = proxy();
-        Near client = new Near(proxy).say(get("/r/1"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/r/1"));
         assertTrue(client.heard.toString().startsWith("HTTP/1.1 503"), client.heard.toString());
         assertTrue(client.heard.toString().contains("no backend"));
     }
@@ -452,9 +336,9 @@
         Conduct u = Conduct.usual();
         Proxy proxy = proxy(c -> new Conduct(u.headWithin(), u.idleWithin(), u.wholeWithin(), u.holdMost(), 2, 2, 3,
                 5, 1, 429, 7, u.lease(), -1, u.deadlineField(), u.stopWithin(), 0), backend(1));
-        List<Near> clients = new ArrayList<>();
+        List<ClientEnd> clients = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            clients.add(new Near(proxy).say(get("/p/" + i)));
+            clients.add(new ClientEnd(proxy).say(get("/p/" + i)));
         }
         assertEquals(2, proxy.connections());
         assertTrue(clients.get(2).heard.toString().contains("as many connections as may be"), clients.get(2).heard.toString());
@@ -466,8 +350,8 @@
     @Test
     void aProxyThatStopsFinishesWhatIsInWorkAndTakesNoMore() throws IOException, ConfigError {
         Proxy proxy = proxy(backend(1));
-        Near client = new Near(proxy).say(get("/r/1"));
-        Near idle = new Near(proxy);
+        ClientEnd client = new ClientEnd(proxy).say(get("/r/1"));
+        ClientEnd idle = new ClientEnd(proxy);
         net.runFor(10 * MS);
         boolean[] stopped = new boolean[1];
         proxy.stop(() -> stopped[0] = true);
@@ -479,7 +363,7 @@
         assertTrue(client.heard.toString().endsWith("ok"), client.heard.toString());
         assertTrue(client.heard.toString().contains("Connection: close"));
         assertTrue(stopped[0]);
-        Near late = new Near(proxy);
+        ClientEnd late = new ClientEnd(proxy);
         net.runFor(300 * MS);
         assertTrue(late.over);
     }
@@ -491,11 +375,11 @@
                 300 * MS, 3 * SECOND, List.of(backend(1)), 15 * SECOND, 250 * MS, 20_000, u), loop,
                 new SplittableRandom(1), Tap.NONE);
         for (int i = 0; i < 10_000; i++) {
-            new Near(proxy);
+            new ClientEnd(proxy);
         }
         net.runFor(200 * MS);
         assertEquals(10_000, proxy.clients());
-        Near client = new Near(proxy).say(get("/r/1"));
+        ClientEnd client = new ClientEnd(proxy).say(get("/r/1"));
         reached.get(0).say(OK);
         assertTrue(client.heard.toString().endsWith("ok"));
     }
@@ -603,9 +487,9 @@
         Proxy proxy = Proxy.start(new ProxyConfig(site(), 0, "p0", 0, 10, ANY, null, List.of(controller), 0, 300 * MS,
                 3 * SECOND, List.of(backends), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop,
                 new SplittableRandom(1), Tap.NONE);
-        List<Near> clients = new ArrayList<>();
+        List<ClientEnd> clients = new ArrayList<>();
         for (int i = 0; i < 600; i++) {
-            Near client = new Near(proxy);
+            ClientEnd client = new ClientEnd(proxy);
             clients.add(client);
             client.connection.send(bytes(get((i % 2 == 0 ? "/r/" : "/p/") + i)));
             net.runFor(10 * MS);
@@ -635,7 +519,7 @@
                 99, 0.01, 503, 1, u.lease(), -1, u.deadlineField(), u.stopWithin(), 0), only);
         made[0] = proxy.router();
         for (int i = 0; i < 30; i++) {
-            Near client = new Near(proxy).say(get("/r/" + i));
+            ClientEnd client = new ClientEnd(proxy).say(get("/r/" + i));
             reached.get(reached.size() - 1).say("HTTP/1.1 500 Mine\r\nContent-Length: 0\r\n\r\n");
             assertTrue(client.heard.toString().startsWith("HTTP/1.1 500"), client.heard.toString());
         }
@@ -651,15 +535,15 @@
                 u.wholeWithin(), u.holdMost(), 9, 9, 1, 99, 1, 503, 1, 100 * MS, 0.5, u.deadlineField(),
                 u.stopWithin(), 0)), loop, new SplittableRandom(1), Tap.NONE);
         net.runFor(3 * SECOND); // no controller: half a request a second, one at once
-        Near first = new Near(proxy).say(get("/p/1"));
+        ClientEnd first = new ClientEnd(proxy).say(get("/p/1"));
         net.runFor(1900 * MS);
         assertEquals(1, proxy.inflight());
-        new Near(proxy).say(get("/p/2").replace("\r\n\r\n", "\r\nX-Deadline-Ms: soon\r\n\r\n"));
-        Near refused = new Near(proxy).say(get("/p/3"));
+        new ClientEnd(proxy).say(get("/p/2").replace("\r\n\r\n", "\r\nX-Deadline-Ms: soon\r\n\r\n"));
+        ClientEnd refused = new ClientEnd(proxy).say(get("/p/3"));
         assertTrue(refused.heard.toString().contains("as many requests in work"), refused.heard.toString());
         net.runFor(200 * MS);
         assertEquals(0, proxy.inflight(), first.heard.toString());
-        Near next = new Near(proxy).say(get("/p/4"));
+        ClientEnd next = new ClientEnd(proxy).say(get("/p/4"));
         assertEquals(1, proxy.inflight(), "the token of these two seconds is still there: " + next.heard);
     }
 
@@ -681,10 +565,10 @@
                 60 * SECOND, List.of(backends), 15 * SECOND, 250 * MS, 5000, Conduct.usual()), loop,
                 new SplittableRandom(seed), Tap.NONE);
         net.runFor(SECOND);
-        List<Near> clients = new ArrayList<>();
+        List<ClientEnd> clients = new ArrayList<>();
         long leave = 0;
         for (int i = 0; i < 80; i++) {
-            Near client = new Near(proxy);
+            ClientEnd client = new ClientEnd(proxy);
             clients.add(client);
             String request = get((i % 2 == 0 ? "/r/" : "/p/") + i);
             int cut = random.nextInt(4) == 0 ? random.nextInt(request.length()) : request.length();
