No request is lost under an end: served on at a stop, told by 408 that it never ran

Cause: ServerStream.stop ended idle connections at once, and an ending connection drops what it reads. Elsewhere the same: connections not accepted yet, idle time-outs, clients beyond a bound, requests in work at the end of stop-within, a kept connection to a backend whose end had arrived unread. The idle time-out counted from the client's last byte and so cut off answers longer than 60 s. Change: a stopping proxy serves its connections on, each answer with Connection: close, and is done when all are closed; a listener accepts what waits before it closes; an end between two requests is a 408 with x-never-ran, which is proof for another try; time-outs of a client run only while it owes something; a client without room gets a 503; ending connections read on though paused. The check of one answer a request in ProxyTest counted a last 408 as a second answer; it now allows exactly one such last word, with x-never-ran and nothing behind it, on a connection that is over.

--- a/src/main/java/rowanmoor/http/ClientStream.java
+++ b/src/main/java/rowanmoor/http/ClientStream.java
@@ -131,6 +131,11 @@
         return waiting == null && asked && !spent && !connection.isClosed();
     }
 
+    /** Whether a request can be sent, going by all that has arrived, read or not: the peer may have ended. */
+    public boolean stillFree() {
+        return free() && connection.isQuiet();
+    }
+
     public boolean isClosed() {
         return connection.isClosed();
     }
--- a/src/main/java/rowanmoor/http/ServerStream.java
+++ b/src/main/java/rowanmoor/http/ServerStream.java
@@ -13,10 +13,21 @@
  * answered in parts too. One request at a time and in order; what a client sends ahead waits, at most
  * {@value #AHEAD_MOST} bytes and one read of it. Content is read no faster than it is taken. A client that
  * ends its bytes while its request is in work has given up.
+ *
+ * <p>A connection without a request in work is never just closed, since a request may be on its way: it ends
+ * with a 408 that names {@link #NEVER_RAN}, and what comes after that is read and dropped (RFC 9110, 15.5.9).
  */
 public class ServerStream implements Handler {
 
+    /** Set on a refusal: proof that nothing was done for the request. */
+    public static final String NEVER_RAN = "x-never-ran";
     static final int AHEAD_MOST = 1 << 16;
+    /**
+     * A client that opens a connection for a request sends it along with the handshake's last packet: one
+     * that has sent nothing for so long was opened in advance. It is not waited for when the server stops,
+     * ns.
+     */
+    private static final long FIRST_REQUEST_WITHIN = 50_000_000L;
     /** An answered request's content up to this is read to its end, so that the connection can be kept. */
     private static final long DRAIN_MOST = 1 << 16;
     private static final Body NOBODY = new Body() {
@@ -37,6 +48,22 @@
         void gone(Exchange exchange);
     }
 
+    /**
+     * How long a client is waited for, in nanoseconds; 0 for no bound.
+     *
+     * @param head from a head's first byte to its last; also for the rest of content that nobody takes any
+     *     more
+     * @param idle between two requests
+     */
+    public record Patience(long head, long idle) {
+
+        /** No bound at all. */
+        static final Patience ENDLESS = new Patience(0, 0);
+    }
+
+    /** What is waited for from the client. */
+    private enum Awaited { NOTHING, REQUEST, HEAD, REST_OF_CONTENT }
+
     /** Takes a request's content. */
     public interface Body {
 
@@ -215,19 +242,22 @@
     private final Loop loop;
     private final Service service;
     private final PartParser parser;
-    private final long headWithin;
+    private final Patience patience;
     private Connection connection;
     private ByteBuffer ahead;
     private Exchange current;
-    private Timer headTimer;
+    private Awaited awaited = Awaited.NOTHING;
+    private Timer timer;
+    private long requests;
+    private long requestsWhenArmed;
     private boolean pumping;
     private boolean stopping;
+    private long idleWhenStopping;
 
-    /** @param headWithin how long a head may take from its first byte, ns */
-    public ServerStream(Loop loop, Limits limits, long headWithin, Service service) {
+    public ServerStream(Loop loop, Limits limits, Patience patience, Service service) {
         this.loop = loop;
         this.parser = PartParser.ofRequests(limits).anyLength();
-        this.headWithin = headWithin;
+        this.patience = patience;
         this.service = service;
     }
 
@@ -235,7 +265,7 @@
     ServerStream(Limits limits, Service service) {
         this.loop = null;
         this.parser = PartParser.ofRequests(limits);
-        this.headWithin = 0;
+        this.patience = Patience.ENDLESS;
         this.service = service;
     }
 
@@ -244,11 +274,21 @@
         return Connection.Options.usual().bound(new Bound(1 << 22, 1 << 16, Bound.Policy.REFUSE));
     }
 
-    /** Closes once the request in work is answered, at once if there is none. */
-    public void stop() {
+    /**
+     * Goes on serving and says with each answer that the connection closes. Without a request for {@code
+     * idleWithin} nanoseconds it ends.
+     */
+    public void stop(long idleWithin) {
         stopping = true;
-        if (current == null && connection != null && !parser.inMessage()) {
-            connection.end();
+        idleWhenStopping = idleWithin;
+        disarm();
+        awaitClient();
+    }
+
+    /** Ends, unless a request is in work. */
+    public void endUnlessInWork() {
+        if (connection != null && connection.isOpen() && current == null) {
+            refuseLate("the server stops");
         }
     }
 
@@ -259,6 +299,7 @@
     @Override
     public void opened(Connection itsConnection) {
         connection = itsConnection;
+        awaitClient();
     }
 
     @Override
@@ -269,7 +310,7 @@
         if (bytes.hasRemaining() && connection.isOpen()) {
             keep(bytes);
         }
-        watchHead();
+        awaitClient();
     }
 
     /** Whether the next bytes belong to a later request. */
@@ -305,10 +346,7 @@
         if (connection.isOpen() && (ahead == null || ahead.remaining() <= AHEAD_MOST)) {
             connection.resume();
         }
-        if (stopping && connection.isOpen() && current == null && !parser.inMessage()) {
-            connection.end();
-        }
-        watchHead();
+        awaitClient();
     }
 
     private void pump(ByteBuffer bytes) {
@@ -330,6 +368,7 @@
 
     private void take(Part part) {
         if (part instanceof Part.RequestHead head) {
+            requests++;
             current = new Exchange(head);
             if (head.length() != 0) {
                 service.begun(current);
@@ -370,14 +409,68 @@
         connection.end();
     }
 
-    /** One byte a second must not hold a connection for good. */
-    private void watchHead() {
-        boolean begun = connection.isOpen() && current == null && (parser.inMessage() || ahead != null);
-        if (begun && headTimer == null && headWithin > 0) {
-            headTimer = loop.after(headWithin, () -> refuse(new HttpError(408, "a head took too long")));
-        } else if (!begun && headTimer != null) {
-            headTimer.cancel();
-            headTimer = null;
+    /**
+     * Ends the connection under a request that has not come whole: whatever of it is on its way
+     * never ran.
+     */
+    private void refuseLate(String why) {
+        connection.send(Message.Response.of(408, why + "\n", "Connection", "close", NEVER_RAN, "1")
+                .encode(false));
+        connection.end();
+    }
+
+    // ---- how long the client is waited for -------------------------------------------------------------
+
+    private Awaited awaitedNow() {
+        if (connection == null || !connection.isOpen()) {
+            return Awaited.NOTHING;
+        }
+        if (current != null) {
+            return current.over ? Awaited.REST_OF_CONTENT : Awaited.NOTHING;
+        }
+        return parser.inMessage() || ahead != null ? Awaited.HEAD : Awaited.REQUEST;
+    }
+
+    /** Sets the timer for what the client owes by now, unless it is set already. */
+    private void awaitClient() {
+        Awaited now = awaitedNow();
+        if (now == awaited && requests == requestsWhenArmed) {
+            return;
+        }
+        disarm();
+        awaited = now;
+        requestsWhenArmed = requests;
+        long within = switch (now) {
+            case NOTHING -> 0;
+            case HEAD, REST_OF_CONTENT -> patience.head();
+            case REQUEST -> requestWithin();
+        };
+        if (within > 0) {
+            timer = loop.after(within, this::late);
+        }
+    }
+
+    private long requestWithin() {
+        if (!stopping) {
+            return patience.idle();
+        }
+        return requests == 0 ? Math.min(FIRST_REQUEST_WITHIN, idleWhenStopping) : idleWhenStopping;
+    }
+
+    private void disarm() {
+        awaited = Awaited.NOTHING;
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
+        }
+    }
+
+    private void late() {
+        switch (awaitedNow()) {
+            case REQUEST -> refuseLate(stopping ? "the server stops" : "no request for too long");
+            case HEAD -> refuseLate("a head took too long");
+            case REST_OF_CONTENT -> connection.end();
+            case NOTHING -> { }
         }
     }
 
@@ -396,9 +489,7 @@
 
     @Override
     public void closed(Connection itsConnection, Close why, String detail) {
-        if (headTimer != null) {
-            headTimer.cancel();
-        }
+        disarm();
         abandon();
     }
 
--- a/src/main/java/rowanmoor/net/Connection.java
+++ b/src/main/java/rowanmoor/net/Connection.java
@@ -119,6 +119,18 @@
         }
     }
 
+    /**
+     * Whether it is open and nothing waits to be read, neither bytes nor the peer's end. A byte that does
+     * may be lost by asking: this is for connections that are closed if so.
+     */
+    public boolean isQuiet() {
+        try {
+            return state == State.OPEN && !peerEnded && wire.read(loop.probe()) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Reads nothing until {@link #resume}: what the peer sends waits with it. */
     public void pause() {
         paused = true;
@@ -132,8 +144,10 @@
     }
 
     /**
-     * Writes what waits, then ends this side's bytes and, once the peer ends too, the connection. A peer that
-     * neither reads nor ends is waited for a second at a time, and no longer.
+     * Writes what waits, then ends this side's bytes and, once the peer ends too, the connection. What the
+     * peer sends meanwhile is read and dropped: unread bytes would make the close a reset, and the last
+     * ones written could be lost by it. A peer that neither reads nor ends is waited for a second at a
+     * time, and no longer.
      */
     public void end() {
         if (state == State.OPEN) {
@@ -331,6 +345,7 @@
 
     private void beginEnding() {
         state = State.ENDING;
+        paused = false;
         watchEnding();
     }
 
--- a/src/main/java/rowanmoor/net/Loop.java
+++ b/src/main/java/rowanmoor/net/Loop.java
@@ -32,6 +32,7 @@
     private final LinkedHashSet<Connection> connections = new LinkedHashSet<>();
     private final ArrayDeque<Connection> dirty = new ArrayDeque<>();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
+    private final ByteBuffer probe = ByteBuffer.allocateDirect(1);
     private long timerNumber;
     private long acceptPauses;
     private long faults;
@@ -65,29 +66,34 @@
             return door.address();
         }
 
+        /** Takes what has been connected by now, which a closed address would reset, and refuses the rest. */
         public void close() {
+            for (int taken = 0; taken < BACKLOG && acceptSome(); taken += ACCEPTS_A_TURN) {
+                // the next ones that wait
+            }
             door.close();
         }
 
         /**
-         * Without a descriptor left, a ready door would spin: it rests, and connections wait in its
-         * backlog.
+         * Accepts a turn's connections; true if more may wait. Without a descriptor left, a ready door would
+         * spin: it rests, and connections wait in its backlog.
          */
-        private void acceptSome() {
+        private boolean acceptSome() {
             for (int i = 0; i < ACCEPTS_A_TURN; i++) {
                 try {
                     Wire wire = door.accept();
                     if (wire == null) {
-                        return;
+                        return false;
                     }
                     take(wire);
                 } catch (IOException e) {
                     acceptPauses++;
                     door.want(false);
                     after(ACCEPT_PAUSE, () -> door.want(true));
-                    return;
+                    return false;
                 }
             }
+            return true;
         }
 
         private void take(Wire wire) {
@@ -280,6 +286,11 @@
         return scratch.clear();
     }
 
+    /** Room for a byte that is not kept: {@link #scratch} may be in use further up. */
+    ByteBuffer probe() {
+        return probe.clear();
+    }
+
     long lingerFor() {
         return SECOND;
     }
--- a/src/main/java/rowanmoor/proxy/Forward.java
+++ b/src/main/java/rowanmoor/proxy/Forward.java
@@ -176,8 +176,23 @@
             return;
         }
         over();
+        leaveTry();
+        proxy.tallies().unanswered(cls);
+    }
+
+    /** The proxy stops: the client gets an answer, unless one has begun, which breaks off. */
+    void stop() {
+        if (!over) {
+            leaveTry();
+            finish(503, "the proxy stops");
+        }
+    }
+
+    /** Cancels the try in work, which counts neither for nor against its backend. */
+    private void leaveTry() {
         if (tryPatience != null) {
             tryPatience.cancel();
+            tryPatience = null;
         }
         if (stream != null) {
             ClientStream left = stream;
@@ -188,7 +203,6 @@
             proxy.router().gaveUp(backend);
             backend = null;
         }
-        proxy.tallies().unanswered(cls);
     }
 
     /** Looks whether it stands still or has taken too long; called now and then. */
@@ -239,8 +253,9 @@
     @Override
     public void head(Part.ResponseHead head) {
         movedAt = proxy.now();
-        boolean unrun = head.status() == 503 && head.fields().get(Proxy.NEVER_RAN) != null;
-        good = head.status() < 500;
+        boolean unrun = (head.status() == 503 || head.status() == 408)
+                && head.fields().get(Proxy.NEVER_RAN) != null;
+        good = head.status() < 500 && !unrun;
         load = proxy.columns().read(head.fields().get(Orca.FIELD));
         if (!good && mayFollow(unrun)) {
             ClientStream left = stream;
--- a/src/main/java/rowanmoor/proxy/Pool.java
+++ b/src/main/java/rowanmoor/proxy/Pool.java
@@ -20,6 +20,11 @@
         /** Whether it can be used now. */
         boolean usable(C connection);
 
+        /** The same for one that has been idle, going by what has arrived on it unread as well. */
+        default boolean stillUsable(C connection) {
+            return usable(connection);
+        }
+
         /** When it was last used. */
         long idleSince(C connection);
 
@@ -51,7 +56,7 @@
         Of<C> of = all.get(backend);
         while (of != null && !of.idle.isEmpty()) {
             C last = of.idle.pollLast();
-            if (ways.usable(last)) {
+            if (ways.stillUsable(last)) {
                 return last;
             }
             ways.close(last);
--- a/src/main/java/rowanmoor/proxy/Proxy.java
+++ b/src/main/java/rowanmoor/proxy/Proxy.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,11 +17,13 @@
 import rowanmoor.http.ClientStream;
 import rowanmoor.http.Fields;
 import rowanmoor.http.Limits;
+import rowanmoor.http.Message;
 import rowanmoor.http.Orca;
 import rowanmoor.http.Part;
 import rowanmoor.http.ServerStream;
 import rowanmoor.net.Close;
 import rowanmoor.net.Connection;
+import rowanmoor.net.Handler;
 import rowanmoor.net.Loop;
 
 /**
@@ -31,7 +34,7 @@
 public final class Proxy implements ServerStream.Service {
 
     /** Set by a backend on a refusal: proof that it did nothing for this request. */
-    public static final String NEVER_RAN = "x-never-ran";
+    public static final String NEVER_RAN = ServerStream.NEVER_RAN;
     /** Says, on what a proxy answers itself, why. */
     public static final String REASON = "x-rowanmoor";
     /** Names the proxy in what it sends to backends. */
@@ -41,8 +44,16 @@
 
     private static final List<String> HOP_BY_HOP = List.of("connection", "keep-alive", "proxy-connection",
             "te", "transfer-encoding", "upgrade", "content-length");
+    /** A client's connection may be idle for so many times as long as one to a backend. */
+    private static final int IDLE_TIMES = 4;
     private static final long WATCH_EVERY = 500_000_000L;
     private static final long MILLI = 1_000_000L;
+    /** Clients without room that are told so at once; beyond it they are cut off. */
+    private static final int TURNED_AWAY_MOST = 64;
+    /** A stopping proxy waits so long for the next request on a kept connection, ns. */
+    private static final long STOP_IDLE = 500_000_000L;
+    /** Within its bound, the time that the last answers have to be read, ns. */
+    private static final long STOP_LAST_ANSWERS = 1_000_000_000L;
 
     private final ProxyConfig config;
     private final Loop loop;
@@ -56,8 +67,10 @@
     private final Set<ServerStream> clients = new LinkedHashSet<>();
     private final Map<InetAddress, Integer> byAddress = new HashMap<>();
     private final Set<Forward> working = new LinkedHashSet<>();
+    private int turnedAway;
     private final String idStem;
     private long ids;
+    private boolean stopping;
     private Runnable stopped;
 
     /** Listens and calls its controller. */
@@ -70,8 +83,7 @@
         this.columns = new LoadColumns(config.site().columns());
         this.pool = new Pool<>(new Ways(), conduct().perBackendMost(), conduct().idleMost());
         this.idStem = config.number() + "-" + Long.toHexString(random.nextLong()) + "-";
-        this.listener = loop.listen(config.listen(), ServerStream.options().idleAfter(4 * config.idleFor()),
-                this::accept);
+        this.listener = loop.listen(config.listen(), ServerStream.options(), this::accept);
         this.channel = new ChannelClient(loop, config, router, random, tap,
                 () -> pool.closeIdle(router::uses));
         // Proxies started together must not report together for good.
@@ -96,6 +108,11 @@
             return connection.free();
         }
 
+        @Override
+        public boolean stillUsable(ClientStream connection) {
+            return connection.stillFree();
+        }
+
         @Override
         public long idleSince(ClientStream connection) {
             return connection.idleSince();
@@ -137,15 +154,32 @@
     }
 
     /**
-     * Takes no more connections and closes those without a request in work; once the last answer is whole, or
-     * the bound for that is over, says goodbye to its controller and runs {@code then}.
+     * Takes no more connections and serves those it has until their clients know: each answer says that its
+     * connection closes, and one on which nothing comes is ended. Once the last is closed, or the bound for
+     * that is over, says goodbye to its controller and runs {@code then}. Only the first call counts.
      */
     public void stop(Runnable then) {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
         stopped = then;
         listener.close();
-        List.copyOf(clients).forEach(ServerStream::stop);
-        loop.after(conduct().stopWithin(), this::finishStop);
-        if (working.isEmpty()) {
+        long within = conduct().stopWithin();
+        long idleWithin = Math.min(STOP_IDLE, within / 4);
+        List.copyOf(clients).forEach(c -> c.stop(idleWithin));
+        loop.after(within - Math.min(STOP_LAST_ANSWERS, within / 2), this::answerTheRest);
+        loop.after(within, this::finishStop);
+        finishStopIfDone();
+    }
+
+    private void answerTheRest() {
+        List.copyOf(working).forEach(Forward::stop);
+        List.copyOf(clients).forEach(ServerStream::endUnlessInWork);
+    }
+
+    private void finishStopIfDone() {
+        if (stopping && clients.isEmpty()) {
             finishStop();
         }
     }
@@ -210,9 +244,6 @@
 
     void ended(Forward forward) {
         working.remove(forward);
-        if (working.isEmpty() && stopped != null) {
-            loop.post(this::finishStop); // its answer's end is still to be written
-        }
     }
 
     /** An answer of the proxy's own. */
@@ -255,25 +286,51 @@
 
     // ---- requests ------------------------------------------------------------------------------------
 
-    private ServerStream accept(Connection connection) {
+    private Handler accept(Connection connection) {
         InetAddress from = connection.remote().getAddress();
         int its = byAddress.getOrDefault(from, 0);
         if (clients.size() >= config.connectionsMost() || its >= conduct().perClientMost()) {
-            return null;
+            return turnedAway < TURNED_AWAY_MOST ? new TurnedAway() : null;
         }
         byAddress.put(from, its + 1);
-        ServerStream stream = new ServerStream(loop, limits, conduct().headWithin(), this) {
+        ServerStream.Patience patience = new ServerStream.Patience(conduct().headWithin(),
+                IDLE_TIMES * config.idleFor());
+        ServerStream stream = new ServerStream(loop, limits, patience, this) {
             @Override
             public void closed(Connection itsConnection, Close why, String detail) {
                 clients.remove(this);
                 byAddress.computeIfPresent(from, (a, n) -> n == 1 ? null : n - 1);
                 super.closed(itsConnection, why, detail);
+                finishStopIfDone();
             }
         };
         clients.add(stream);
         return stream;
     }
 
+    /** A client without room: it is told so, whatever it has asked by then, and its connection ends. */
+    private final class TurnedAway implements Handler {
+
+        TurnedAway() {
+            turnedAway++;
+        }
+
+        @Override
+        public void opened(Connection connection) {
+            connection.send(Message.Response.of(503, "as many connections as may be\n", "Connection", "close",
+                    REASON, "as many connections as may be", NEVER_RAN, "1").encode(false));
+            connection.end();
+        }
+
+        @Override
+        public void received(Connection connection, ByteBuffer bytes) { }
+
+        @Override
+        public void closed(Connection connection, Close why, String detail) {
+            turnedAway--;
+        }
+    }
+
     @Override
     public void begun(ServerStream.Exchange exchange) {
         Part.RequestHead head = exchange.head();
--- a/src/test/java/rowanmoor/proxy/ProxyFixture.java
+++ b/src/test/java/rowanmoor/proxy/ProxyFixture.java
@@ -79,6 +79,16 @@
             over = true;
         }
 
+        /**
+         * What it heard but for a last word that its connection ends: one 408 that says that nothing ran, after which
+         * nothing may come.
+         */
+        String answers() {
+            String all = heard.toString();
+            int last = all.lastIndexOf("HTTP/1.1 408 ");
+            return over && last > 0 && all.substring(last).toLowerCase().contains(Proxy.NEVER_RAN) ? all.substring(0, last) : all;
+        }
+
         ClientEnd say(String text) {
             connection.send(bytes(text));
             net.runFor(20 * MS);
