--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import rowanmoor.ControlApi.Action;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.Tally;
+import rowanmoor.ControlApi.TimerAt;
 import rowanmoor.ControlApi.Usage;
 
 /** What one instance keeps of its proxies, pools and channel: plain state and sums, no decision. */
@@ -178,6 +180,24 @@
         }
     }
 
+    /** When each kind of timer is due, so that one wait has one timer however often its module decides. */
+    static final class Timers {
+        static final int ROUND = 0;
+        static final int ASK = 1;
+        static final int SEND = 2;
+        static final int BIND = 3;
+
+        private final long[] dueAt = new long[BIND + 1];
+
+        /** Orders a timer of a kind, unless one that is still to come is due as early. */
+        void set(long now, long time, int kind, List<Action> orders) {
+            if (dueAt[kind] <= now || time < dueAt[kind]) {
+                dueAt[kind] = time;
+                orders.add(new TimerAt(time, kind));
+            }
+        }
+    }
+
     /** A marked reply: the lines sent before it, its lines for each message, and how many were answered. */
     static final class SentMark {
         final int number;
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -125,6 +125,7 @@
     private int roundsHeard, askFailures, overloadedRounds;
     private double total = Double.POSITIVE_INFINITY, proven, usualCapacity, queued = 1, allowance = 1e9;
     private final Sent sent = new Sent(); // what the channel was given, and what has left it
+    private final Timers timers = new Timers();
 
     public Logic(Settings settings, long seed) {
         this.settings = settings;
@@ -168,7 +169,7 @@
         boolean round = now >= nextRound;
         if (round) {
             nextRound = now + roundLength;
-            actions.add(new TimerAt(nextRound, 0));
+            timers.set(now, nextRound, Timers.ROUND, actions);
             probe();
             learn(now);
         }
@@ -216,7 +217,8 @@
     private void askForList(long now) {
         if (settings.mustAsk() && !watching) {
             watching = now >= askAt;
-            actions.add(watching ? new Watch(true) : new TimerAt(askAt, 1));
+            if (watching) { actions.add(new Watch(true)); }
+            if (!watching) { timers.set(now, askAt, Timers.ASK, actions); }
         }
     }
 
@@ -729,7 +731,7 @@
             tellLevels(now);
         }
         if (urgent) {
-            actions.add(new TimerAt(Math.max(nextMessage, now + WAIT), 2));
+            timers.set(now, Math.max(nextMessage, now + WAIT), Timers.SEND, actions);
         }
         if (round) {
             pools.values().forEach(this::evenOut);
@@ -775,7 +777,7 @@
             double over = sent.waiting() + lines + settings.channel().head() + 1 - most;
             if (sent.waiting() > 0 && over > 0) {
                 double wait = SECOND * over / settings.channel().linesPerSecond();
-                actions.add(new TimerAt(now + Math.max(WAIT, (long) wait), 3));
+                timers.set(now, now + Math.max(WAIT, (long) wait), Timers.BIND, actions);
                 return;
             }
             for (Pool pool : proxy.pools) {
