--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -116,6 +116,24 @@
             newSpan[report.cls()] += report.span() / 1e9;
         }
 
+        /**
+         * A round's usage, smoothed: rates by the span that a report states. Where a cycle of all reports takes
+         * more than a round, a proxy without a line is unknown, not idle. Times in seconds.
+         */
+        void learn(double seconds, double cycle, double smooth) {
+            for (int c = 0; c < usage.length; c++) {
+                silent[c] = newUsage[c] > 0 ? 0 : silent[c] + seconds;
+                boolean unknown = cycle > seconds && silent[c] < 2 * cycle;
+                if (newUsage[c] > 0 || !unknown) {
+                    double span = cycle > seconds ? Math.max(seconds, newSpan[c]) : seconds;
+                    double fresh = 1 - Math.pow(1 - smooth, span / seconds);
+                    usage[c] += fresh * (newUsage[c] / span - usage[c]);
+                }
+                newUsage[c] = 0;
+                newSpan[c] = 0;
+            }
+        }
+
         void use(int number, Pool pool) {
             if (pools[pool.group] != null) {
                 pools[pool.group].users.remove(number);
@@ -166,6 +184,16 @@
             }
         }
 
+        /** How many pools of its set hold a backend. */
+        int holding(Backend backend) {
+            return holders.getOrDefault(backend, 0);
+        }
+
+        /** Its members' part of the flows, shared with the pools that hold them too, over its demand. */
+        double supply(Map<Backend, Double> flows) {
+            return members.stream().mapToDouble(b -> flows.getOrDefault(b, 0.0) / holding(b)).sum() / demand;
+        }
+
         List<ProxyState> bound() {
             return users.values().stream().filter(p -> p.bound).toList();
         }
--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -390,17 +390,6 @@
         return 1 + pool.users.values().stream().mapToDouble(p -> work(p, pool.group)).sum();
     }
 
-    /** How many pools of a set hold a backend. */
-    private static long holding(Backend backend, List<Pool> set) {
-        return set.get(0).holders.getOrDefault(backend, 0);
-    }
-
-    /** A pool's members' part of the flows, shared with the pools that hold them too, over its demand. */
-    private static double supply(Pool pool, Map<Backend, Double> flows, List<Pool> set) {
-        return pool.members.stream().mapToDouble(b -> flows.getOrDefault(b, 0.0) / holding(b, set)).sum()
-                / pool.demand;
-    }
-
     /** How many table numbers a set of pools has: they are 16 bits for all regions and groups together. */
     private int tablesOfSet() { return ControlApi.ALL_TABLES / (groups.size() * regions); }
 
@@ -503,13 +492,13 @@
             flows.keySet().forEach(set.get(0)::add);
             return;
         }
-        flows.keySet().stream().filter(b -> flows.get(b) * flows.size() >= DEALT && holding(b, set) == 0)
+        flows.keySet().stream().filter(b -> flows.get(b) * flows.size() >= DEALT && set.get(0).holding(b) == 0)
                 .forEach(b -> seat(Collections.min(set, Comparator.comparing(p ->
-                        supply(p, flows, set))), b, flows));
+                        p.supply(flows))), b, flows));
         boolean settled = !joined && roundsHeard > LEARN_ROUNDS; // while proxies join, demand tells nothing
         double fair = SHORT * 100 / set.stream().mapToDouble(p -> p.demand).sum();
         for (Pool pool : set) {
-            for (int i = 0; settled && i < POOL_MOST && supply(pool, flows, set) < fair; i++) {
+            for (int i = 0; settled && i < POOL_MOST && pool.supply(flows) < fair; i++) {
                 refill(pool, b -> true, flows, set);
             }
             for (long i = pool.members.stream().filter(away).count(); regions > 1 && i < WAY_OUT; i++) {
@@ -520,7 +509,7 @@
 
     private void refill(Pool pool, Predicate<Backend> fit, Map<Backend, Double> flows, List<Pool> set) {
         flows.keySet().stream().filter(b -> !pool.members.contains(b) && fit.test(b))
-                .max(Comparator.comparing(b -> flows.get(b) / (1 + holding(b, set))))
+                .max(Comparator.comparing(b -> flows.get(b) / (1 + pool.holding(b))))
                 .ifPresent(b -> seat(pool, b, flows));
     }
 
@@ -537,7 +526,7 @@
             List<Pool> set) {
         TreeMap<Backend, Double> lines = new TreeMap<>(flows);
         lines.keySet().retainAll(pool.members);
-        lines.replaceAll((backend, flow) -> flow / holding(backend, set));
+        lines.replaceAll((backend, flow) -> flow / pool.holding(backend));
         double part = 100 / Math.max(1e-9, Fleet.sum(lines.values()));
         double all = set.stream().mapToDouble(p -> p.demand).sum();
         lines.replaceAll((backend, flow) -> {
@@ -567,8 +556,6 @@
 
     private double openLevel() { return settings.admission() == Admission.SHARE ? 1 : OPEN_RATE; }
 
-    // Rates by the span that a report states. Where reports take more than a round to come round, a proxy
-    // without a line is unknown, not idle.
     private void learnUsage(long now, double seconds) {
         proxies.values().removeIf(p -> !p.joined && now - p.leftAt > LEASE);
         double reports = backends.size() * settings.zones() + proxies.size() * levels.length;
@@ -576,16 +563,7 @@
         for (ProxyState proxy : proxies.values()) {
             proxy.heard |= Arrays.stream(proxy.newUsage).sum() > 0;
             proxy.present = blend(proxy.present, proxy.joined && proxy.heard ? 1 : 0);
-            for (int c = 0; proxy.joined && proxy.heard && c < levels.length; c++) {
-                proxy.silent[c] = proxy.newUsage[c] > 0 ? 0 : proxy.silent[c] + seconds;
-                boolean unknown = cycle > seconds && proxy.silent[c] < 2 * cycle;
-                if (proxy.newUsage[c] > 0 || !unknown) {
-                    double span = cycle > seconds ? Math.max(seconds, proxy.newSpan[c]) : seconds;
-                    double fresh = 1 - Math.pow(1 - SMOOTH, span / seconds);
-                    proxy.usage[c] += fresh * (proxy.newUsage[c] / span - proxy.usage[c]);
-                }
-                proxy.newUsage[c] = proxy.newSpan[c] = 0;
-            }
+            if (proxy.joined && proxy.heard) { proxy.learn(seconds, cycle, SMOOTH); }
         }
     }
 
