--- a/src/test/java/rowanmoor/RecordTest.java
+++ b/src/test/java/rowanmoor/RecordTest.java
@@ -58,6 +58,36 @@
                 all.get(all.size() - 1));
     }
 
+    private static ControlApi.ClassSpec spec(long aim, double worth) {
+        return new ControlApi.ClassSpec(aim, 3 * aim, worth, 0.2, ControlApi.Effect.SAFE, ControlApi.Group.ZONE, 2 * SECOND, false,
+                false, java.util.Set.of(), java.util.Set.of());
+    }
+
+    /**
+     * mill-orders, an invented site: its class price has 30 ms of work and a tight aim, and the least worth a request.
+     * Levels count requests, so it was turned away to a tenth first, in every overload (level 0.06 to 0.1 of 0.7 requests a
+     * second and proxy), and the overload stayed: price is 7% of the work. Served 0.350 to 0.377 where the gate asks 0.400.
+     */
+    @Test
+    void theLightestRequestsAreNotTurnedAwayForATenthOfTheWork() {
+        Stand stand = new Stand(TestSettings.with(List.of(spec(250 * MS, 1), spec(3 * SECOND, 8), spec(SECOND, 2)), false, 0, 0))
+                .start(4, 4);
+        for (int i = 0; i < 30; i++) {
+            for (int proxy = 0; proxy < 4; proxy++) {
+                stand.usage(proxy, 0, 10); // 2.5 of 37.5 by aims
+                stand.usage(proxy, 1, 10);
+                stand.usage(proxy, 2, 5);
+            }
+            int round = i;
+            stand.report(4, 2, b -> round < 5 ? 0 : 3, b -> (round < 5 ? 100 : 900) * MS);
+        }
+        assertTrue(logs(stand, "levels lowered").size() > 0, logs(stand, "").toString());
+        assertTrue(stand.level(0, 0) >= 9, "the lightest, of least worth: " + stand.level(0, 0));
+        assertTrue(stand.level(0, 1) < 9, "the heaviest: " + stand.level(0, 1));
+        // What is left of the tenth, 1.25 of 5, and no more than that.
+        assertTrue(stand.level(0, 2) >= 1.2 && stand.level(0, 2) < 1.4, "the next: " + stand.level(0, 2));
+    }
+
     @Test
     void levelsThatFlapForAnHourLeaveABoundedRecordThatEndsWithTheLatest() {
         LevelRecord record = new LevelRecord(1, 1e6);
