--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -109,6 +109,7 @@
     private final long roundLength;
     private final double tightestAim;
     private final List<Integer> byWorth; // classes, the worthiest first
+    private final List<Integer> byAim; // classes, those of the lightest requests first, as far as aims tell
     private final List<List<Integer>> groups = new ArrayList<>();
     private final TreeMap<Backend, BackendState> backends = new TreeMap<>();
     private final TreeMap<Integer, ProxyState> proxies = new TreeMap<>();
@@ -136,6 +137,8 @@
         this.tightestAim = settings.classes().stream().mapToLong(ClassSpec::aim).min().orElse(0);
         this.byWorth = IntStream.range(0, settings.classes().size()).boxed()
                 .sorted(Comparator.comparing(c -> -settings.classes().get(c).worth())).toList();
+        this.byAim = byWorth.stream().sorted(Comparator.comparing(c ->
+                settings.classes().get(c).aim())).toList();
         this.levels = new double[settings.classes().size()];
         Arrays.fill(levels, openLevel());
         this.floors = new boolean[levels.length];
@@ -492,9 +495,9 @@
             flows.keySet().forEach(set.get(0)::add);
             return;
         }
-        flows.keySet().stream().filter(b -> flows.get(b) * flows.size() >= DEALT && set.get(0).holding(b) == 0)
-                .forEach(b -> seat(Collections.min(set, Comparator.comparing(p ->
-                        p.supply(flows))), b, flows));
+        flows.keySet().stream().filter(b -> flows.get(b) * flows.size() >= DEALT
+                && set.get(0).holding(b) == 0).forEach(b -> seat(Collections.min(set,
+                        Comparator.comparing(p -> p.supply(flows))), b, flows));
         boolean settled = !joined && roundsHeard > LEARN_ROUNDS; // while proxies join, demand tells nothing
         double fair = SHORT * 100 / set.stream().mapToDouble(p -> p.demand).sum();
         for (Pool pool : set) {
@@ -647,11 +650,13 @@
         double demand = demand();
         if (total >= LIFT * demand) { total = Double.POSITIVE_INFINITY; }
         double part = total;
+        double[] leastParts = leastParts();
         for (int cls : byWorth) {
             double[] usage = proxies.values().stream().mapToDouble(p -> p.usage[cls]).sorted().toArray();
             double asked = Arrays.stream(usage).sum();
             boolean share = settings.admission() == Admission.SHARE;
-            double least = share ? LEAST_LEVEL : LEAST_LEVEL * asked / Math.max(1, usage.length);
+            double least = leastParts[cls] == 1 ? openLevel() : share ? leastParts[cls]
+                    : leastParts[cls] * asked / Math.max(1, usage.length);
             levels[cls] = part >= asked ? openLevel()
                     : Math.max(least, share ? part / asked : evenLevel(usage, part));
             floors[cls] = levels[cls] == least;
@@ -659,6 +664,20 @@
         }
     }
 
+    // Levels count requests, and what they free is work. A tenth of it is kept for the lightest requests,
+    // whatever they are worth: turning them away frees next to nothing, and the overload stays.
+    private double[] leastParts() {
+        double[] work = IntStream.range(0, levels.length).mapToDouble(c -> settings.classes().get(c).aim()
+                * proxies.values().stream().mapToDouble(p -> p.usage[c]).sum()).toArray();
+        double kept = LEAST_LEVEL * Arrays.stream(work).sum();
+        double[] parts = new double[levels.length];
+        for (int cls : byAim) {
+            parts[cls] = Math.max(LEAST_LEVEL, Math.min(1, kept / Math.max(1e-9, work[cls])));
+            kept = Math.max(0, kept - work[cls]);
+        }
+        return parts;
+    }
+
     /** The one level at which what all proxies can use adds up to the part; usage comes sorted. */
     static double evenLevel(double[] usage, double part) {
         double left = part;
