Soak: real proxy processes stopped, killed and started under load, as seeds draw it

Need: requests lost at a stop were seen from outside only; tests in memory do not hold the process, its signals and its end. Judged by clients and backends: every written request answered unless its process was killed outright, no unsafe request twice, ended within its bound, nine in ten starts ready in 10 s. A failure names its seed and the command that plays it again.

--- a/src/main/java/rowanmoor/Fleet.java
+++ b/src/main/java/rowanmoor/Fleet.java
@@ -117,8 +117,8 @@
         }
 
         /**
-         * A round's usage, smoothed: rates by the span that a report states. Where a cycle of all reports takes
-         * more than a round, a proxy without a line is unknown, not idle. Times in seconds.
+         * A round's usage, smoothed: rates by the span that a report states. Where a cycle of all reports
+         * takes more than a round, a proxy without a line is unknown, not idle. Times in seconds.
          */
         void learn(double seconds, double cycle, double smooth) {
             for (int c = 0; c < usage.length; c++) {
--- a/src/main/java/rowanmoor/cli/Commands.java
+++ b/src/main/java/rowanmoor/cli/Commands.java
@@ -34,6 +34,7 @@
 import rowanmoor.lab.Player;
 import rowanmoor.lab.ProxyLoad;
 import rowanmoor.lab.Report;
+import rowanmoor.lab.Soak;
 import rowanmoor.net.Loop;
 import rowanmoor.platform.Serve;
 import rowanmoor.proxy.Proxy;
@@ -264,6 +265,27 @@
         return played.passed() ? 0 : 1;
     }
 
+    @Command(name = "soak",
+            description = "Stops, kills and starts real proxy processes under load, as seeds draw it.")
+    int soak(@Option(names = "--seeds", defaultValue = "1..4", paramLabel = "A..B") String seeds,
+            @Option(names = "--lanes", defaultValue = "2", description = "seeds at a time") int lanes,
+            @Option(names = "--report", paramLabel = "DIR",
+                    description = "keeps settings and logs") Path report)
+            throws IOException, InterruptedException {
+        if (!seeds.matches("\\d{1,9}\\.\\.\\d{1,9}") || lanes < 1) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "soak takes --seeds A..B and --lanes of 1 or more");
+        }
+        String[] ends = seeds.split("\\.\\.");
+        Path directory = report == null ? Files.createTempDirectory("rowanmoor-soak") : report;
+        Files.createDirectories(directory);
+        boolean passed = new Soak(directory, line -> {
+            out().println(line);
+            out().flush();
+        }).play(Long.parseLong(ends[0]), Long.parseLong(ends[1]), lanes);
+        return passed ? 0 : 1;
+    }
+
     @Command(name = "experiment",
             description = "Plays a grid of fleets, mixes, rates and seeds, or searches it.")
     int experiment(@Parameters(paramLabel = "FILE") Path file,
--- a/src/main/java/rowanmoor/lab/Child.java
+++ b/src/main/java/rowanmoor/lab/Child.java
@@ -75,6 +75,11 @@
         process.destroy();
     }
 
+    /** Waits for its end; false if it is still there after so many milliseconds. */
+    boolean endsWithin(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
+    }
+
     void awaitEnd() {
         try {
             if (!process.waitFor(END_SECONDS, TimeUnit.SECONDS)) {
--- /dev/null
+++ b/src/main/java/rowanmoor/lab/SoakClient.java
@@ -0,0 +1,166 @@
+package rowanmoor.lab;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A client of a soak, on a thread of its own: one kept connection, one request at a time. It looks for the
+ * end of its connection before each request, as a careful pool does.
+ */
+final class SoakClient implements Runnable {
+
+    /** What a client tells of each request that it has written; from its own thread. */
+    interface Listener {
+
+        void answered(String id, int status);
+
+        /** No answer came. Times by {@link System#nanoTime}. */
+        void unanswered(String id, long connectedAt, String why);
+    }
+
+    private static final int ANSWER_WITHIN_MS = 15_000;
+    private static final int PAUSE_MOST_MS = 40;
+    private static final int REDIAL_MS = 20;
+    private static final int HEAD_MOST = 1 << 14;
+    private static final Pattern STATUS = Pattern.compile("HTTP/1\\.1 (\\d{3}) ");
+    private static final Pattern LENGTH = Pattern.compile("(?i)\r\ncontent-length: (\\d+)\r\n");
+    private static final Pattern CLOSE = Pattern.compile("(?i)\r\nconnection: close\r\n");
+
+    private final String name;
+    private final InetSocketAddress server;
+    private final SplittableRandom random;
+    private final Listener listener;
+    private final BooleanSupplier goesOn;
+    private SocketChannel channel;
+    private long connectedAt;
+
+    SoakClient(String name, InetSocketAddress server, SplittableRandom random, Listener listener,
+            BooleanSupplier goesOn) {
+        this.name = name;
+        this.server = server;
+        this.random = random;
+        this.listener = listener;
+        this.goesOn = goesOn;
+    }
+
+    @Override
+    public void run() {
+        for (int number = 0; goesOn.getAsBoolean(); number++) {
+            if (connect()) {
+                pause(random.nextInt(PAUSE_MOST_MS));
+                askIfOpen(number);
+            } else {
+                pause(REDIAL_MS);
+            }
+        }
+        close();
+    }
+
+    private boolean connect() {
+        if (channel != null) {
+            return true;
+        }
+        try {
+            channel = SocketChannel.open(server);
+            channel.socket().setSoTimeout(ANSWER_WITHIN_MS);
+            connectedAt = System.nanoTime();
+            return true;
+        } catch (IOException e) {
+            channel = null;
+            return false;
+        }
+    }
+
+    private void askIfOpen(int number) {
+        if (hasEnded()) {
+            close();
+            return;
+        }
+        String id = name + "-" + number;
+        String path = random.nextBoolean() ? SoakRun.SAFE_PATH : SoakRun.UNSAFE_PATH;
+        String request = "GET " + path + "/" + id + " HTTP/1.1\r\nHost: soak\r\nX-Request-Id: " + id
+                + "\r\n\r\n";
+        try {
+            channel.write(ByteBuffer.wrap(request.getBytes(StandardCharsets.ISO_8859_1)));
+            readAnswer(id);
+        } catch (IOException e) {
+            listener.unanswered(id, connectedAt, e.toString());
+            close();
+        }
+    }
+
+    /** Whether the server has ended the connection or said something unasked: nothing is asked on it then. */
+    private boolean hasEnded() {
+        try {
+            channel.configureBlocking(false);
+            int read = channel.read(ByteBuffer.allocate(1));
+            channel.configureBlocking(true);
+            return read != 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private void readAnswer(String id) throws IOException {
+        InputStream in = channel.socket().getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) readByte(in));
+            if (head.length() > HEAD_MOST) {
+                throw new IOException("an endless head");
+            }
+        }
+        Matcher status = STATUS.matcher(head);
+        Matcher length = LENGTH.matcher(head);
+        if (!status.lookingAt() || !length.find()) {
+            throw new IOException("no answer: " + head);
+        }
+        for (int left = Integer.parseInt(length.group(1)); left > 0; left--) {
+            readByte(in);
+        }
+        listener.answered(id, Integer.parseInt(status.group(1)));
+        if (CLOSE.matcher(head).find()) {
+            close();
+        }
+    }
+
+    private static int readByte(InputStream in) throws IOException {
+        try {
+            int value = in.read();
+            if (value < 0) {
+                throw new IOException("the connection ended");
+            }
+            return value;
+        } catch (SocketTimeoutException e) {
+            throw new IOException("nothing for " + ANSWER_WITHIN_MS + " ms", e);
+        }
+    }
+
+    private void close() {
+        if (channel != null) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // its descriptor is given up either way
+            }
+            channel = null;
+        }
+    }
+
+    private static void pause(int millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
