EndingTest fills the queue to its bound: one piece in it was not surely stuck

Change: the peer's receive buffer is fixed, and pieces are queued until the queue is at its bound behind a write that took nothing. The assertions are unchanged.

--- a/src/test/java/rowanmoor/net/EndingTest.java
+++ b/src/test/java/rowanmoor/net/EndingTest.java
@@ -74,17 +74,26 @@
                 throw new AssertionError(e);
             }
         });
-        return new Socket(at.getAddress(), at.getPort());
+        Socket peer = new Socket();
+        peer.setReceiveBufferSize(PIECE); // it does not grow then
+        peer.connect(at);
+        return peer;
     }
 
-    /** Sends to a peer that reads nothing until bytes wait here that no buffer takes. */
+    /**
+     * Sends to a peer that reads nothing until its connection's queue is full behind a write that took nothing. One piece
+     * in the queue is not enough: beside other load a write may take nothing only because the other side of the loopback
+     * has not had its turn, and then takes that piece after all.
+     */
     private Connection stuffed() throws Exception {
         Connection connection = accepted.get(20, TimeUnit.SECONDS);
         while (on(l -> {
+            long before = connection.writtenBytes();
             connection.flush();
-            return connection.queuedBytes();
-        }) < PIECE) {
-            on(l -> connection.send(ByteBuffer.allocate(PIECE)));
+            boolean tookNothing = connection.writtenBytes() == before;
+            return connection.send(ByteBuffer.allocate(PIECE)) || !tookNothing;
+        })) {
+            Thread.onSpinWait();
         }
         return connection;
     }
