--- a/src/main/java/rowanmoor/Logic.java
+++ b/src/main/java/rowanmoor/Logic.java
@@ -329,7 +329,9 @@
                 path.restUntil = 0;
                 path.health = TRIAL;
                 path.trialFrom = now + settings.channel().latest() + 2 * settings.period();
-                path.tries = path.failed = path.latencySum = 0;
+                path.tries = 0;
+                path.failed = 0;
+                path.latencySum = 0;
             } else if (failing && room) {
                 path.restUntil = now + REST;
                 path.health = 0;
--- a/src/main/java/rowanmoor/proxy/ChannelClient.java
+++ b/src/main/java/rowanmoor/proxy/ChannelClient.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
--- a/src/main/java/rowanmoor/proxy/Proxy.java
+++ b/src/main/java/rowanmoor/proxy/Proxy.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import rowanmoor.ControlApi.Backend;
-import rowanmoor.channel.Frame;
 import rowanmoor.discovery.Addresses;
 import rowanmoor.discovery.LoadColumns;
 import rowanmoor.http.ClientStream;
--- a/src/test/java/rowanmoor/LogicTest.java
+++ b/src/test/java/rowanmoor/LogicTest.java
@@ -8,7 +8,6 @@
 import static rowanmoor.TestSettings.SECOND;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
--- a/src/test/java/rowanmoor/proxy/ProxyTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyTest.java
@@ -5,14 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import rowanmoor.channel.ChannelError;
 import rowanmoor.channel.ChannelLimits;
@@ -21,13 +19,8 @@
 import rowanmoor.channel.FrameReader;
 import rowanmoor.channel.ReportReceiver;
 import rowanmoor.config.ConfigError;
-import rowanmoor.config.Section;
-import rowanmoor.config.Site;
-import rowanmoor.net.Close;
 import rowanmoor.net.Connection;
 import rowanmoor.net.Handler;
-import rowanmoor.net.Loop;
-import rowanmoor.net.MemoryNet;
 
 /** What a proxy does with requests, answers, bounds and its stream. */
 class ProxyTest extends ProxyFixture {
--- a/src/test/java/rowanmoor/proxy/ReportQueueTest.java
+++ b/src/test/java/rowanmoor/proxy/ReportQueueTest.java
@@ -20,7 +20,6 @@
 import rowanmoor.config.ConfigError;
 import rowanmoor.net.Connection;
 import rowanmoor.net.Handler;
-import rowanmoor.net.Loop;
 
 /** Reports and their acknowledgement between a proxy and scripted controllers that use the product's receiver. */
 class ReportQueueTest extends ProxyFixture {
