--- a/src/main/java/rowanmoor/http/ServerStream.java
+++ b/src/main/java/rowanmoor/http/ServerStream.java
@@ -226,6 +226,7 @@
                 goOn();
             } else {
                 connection.resume(); // the rest of the content is read and dropped
+                awaitClient();
             }
         }
 
--- a/src/test/java/rowanmoor/proxy/ProxyStopTest.java
+++ b/src/test/java/rowanmoor/proxy/ProxyStopTest.java
@@ -209,6 +209,19 @@
         assertEquals(0, proxy.clients());
     }
 
+    /** The same where the answer comes later than what there is of the request. */
+    @Test
+    void aClientThatNeverSendsTheRestOfARequestAnsweredEarlyIsBounded() throws IOException, ConfigError {
+        Proxy proxy = proxyApart(backend(1));
+        ClientEnd client = new ClientEnd(proxy).say("POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc");
+        reached.get(0).say(OK);
+        assertTrue(client.heard.toString().endsWith("ok"), client.heard.toString());
+        assertFalse(client.over, "it may send the rest and go on");
+        net.runFor(15 * SECOND);
+        assertTrue(client.over);
+        assertEquals(0, proxy.clients());
+    }
+
     @Test
     void aClientForWhomThereIsNoRoomIsAnswered() throws IOException, ConfigError {
         Conduct u = Conduct.usual();
