--- a/review/1/Case.java
+++ b/review/1/Case.java
@@ -4,9 +4,11 @@
 /**
  * A hall's workers are lost and come back cold; meanwhile the controllers are restarted one at a time. With VARIANT=plain
  * no class keeps to its zone, and the other hall's workers are lost once the first hall's are warm.
+ * ONLY=loss or ONLY=restarts plays one of the two disruptions alone.
  */
 public final class Case {
     public static void main(String[] args) {
+        String only = System.getenv("ONLY");
         boolean plain = "plain".equals(System.getenv("VARIANT"));
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int result = 2;
@@ -20,10 +22,12 @@
             w.controllers.forEach(World.Controller::start);
             w.proxies.forEach(World.Proxy::run);
             w.sleepUntil(6_000);
-            if (trouble) {
+            if (trouble && !"restarts".equals(only)) {
                 hall.forEach(World.Backend::die);
                 w.sleepUntil(16_000);
                 hall.forEach(World.Backend::restart);
+            }
+            if (trouble && !"loss".equals(only)) {
                 w.sleepUntil(18_000);
                 w.controllers.get(0).terminate();
                 w.controllers.get(0).start();
