Test of the old watch: wait until it is followed before the catalog moves

Seen: SocketDisconnectTest.oldWatchStaysWhileTheNewAddressFails failed with a broken pipe, on the landed code in 2 of 12 runs of its class. Cause: the test moved the catalog without waiting until the loop had read the first line of the old watch; a watch that is not established yet is replaced at once, by design (CatalogClient.setAddress stops a pending watch). The test now waits for an object of the old watch to be applied, then asserts what it asserted before.

--- a/src/test/java/rowanmoor/platform/SocketDisconnectTest.java
+++ b/src/test/java/rowanmoor/platform/SocketDisconnectTest.java
@@ -175,7 +175,10 @@
 
     @Test
     void oldWatchStaysWhileTheNewAddressFails() throws Exception {
-        Watch oldWatch = catalog.acceptWatch().sendHead().sendLine("");
+        Watch oldWatch = catalog.acceptWatch().sendHead()
+                .sendObject(5, false, List.of(numberedInstance(3, "terminating")));
+        // A watch whose first line has not been read yet is replaced at once.
+        platform.awaitOnLoop(() -> platform.log.stream().anyMatch(l -> l.contains("catalog: DELTA 5")));
         try (ScriptedCatalog other = new ScriptedCatalog()) {
             platform.callOnLoop(() -> {
                 platform.controller.reload(
@@ -185,7 +188,7 @@
             Watch failing = other.acceptWatch();
             failing.sendRaw("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
             assertTrue(failing.isClosedByController());
-            oldWatch.sendObject(5, false, List.of(numberedInstance(2, "terminating"))); // still followed
+            oldWatch.sendObject(6, false, List.of(numberedInstance(2, "terminating"))); // still followed
             Watch established = other.acceptWatch().sendHead();
             established.sendLine("");
             assertTrue(oldWatch.isClosedByController(), "closed once the new watch is established");
