Proxies that wait to be bound are told of withdrawals by deadline, before their binds

Change: each withdrawal is owed to each proxy that may hold the backend and is sent as the channel has room, in the order of the deadlines (PendingWithdrawals, RoutingPolicy.sendNotices, the action WithdrawAt); binds leave room for a drain of the whole fleet and leave out lines of withdrawn backends, which come with the readmission; 50 ms of lines share a mark (MarkAt). Same cause elsewhere: a fleet of 400 that loses half of its backends (5,000 lines waited where 2,400 may), proxies that join twice, a rebinding proxy, sites with key ranges, where later proxies were never told and the backlog was never closed. The log tells how long a withdrawal has been known, what waits, and proxies not told for over half the grace.

--- a/src/main/java/rowanmoor/ControlApi.java
+++ b/src/main/java/rowanmoor/ControlApi.java
@@ -141,6 +141,13 @@
         }
     }
 
+    /**
+     * Withdraws backends, and tells only some proxies: each is told of those that it may hold. The others are
+     * told by later actions, or by their bind. A proxy that is told while its tables are unknown is told of
+     * the readmission too. Only for channels that are {@link Channel#addressable}.
+     */
+    record WithdrawAt(List<Backend> backends, List<Integer> proxies) implements Action { }
+
     /**
      * Sets the admission level and retry policy of a table.
      *
@@ -152,7 +159,14 @@
     record Mark(int number) implements Action { }
 
     /**
-     * Makes a proxy use a table for some classes.
+     * Adds a mark to the messages of this round that go to these proxies. Only for channels that are
+     * {@link Channel#addressable}.
+     */
+    record MarkAt(int number, List<Integer> proxies) implements Action { }
+
+    /**
+     * Makes a proxy use a table for some classes. On a channel that is {@link Channel#addressable} it gets no
+     * lines of withdrawn backends; these are set when the backends are readmitted.
      *
      * @param classMask bit set of class numbers; 0 means all classes
      * @param readmitted backends of the table that an earlier instance may have withdrawn at the proxy
@@ -184,6 +198,17 @@
     record BackendEstimate(Backend backend, Availability availability, double load, List<Double> health,
             double correction, double warmth, double tries, boolean withdrawn) { }
 
+    /**
+     * What waits on the channel; used in logs only, not in decisions.
+     *
+     * @param waitingLines estimate of the lines that wait in the channel
+     * @param waitingBinds joined proxies that wait for a table
+     * @param uninformedProxies joined proxies that were not sent a withdrawal that concerns them
+     * @param oldestUninformed the longest time for which one of these has been due, ns; 0 if there is none
+     */
+    record ChannelStatus(double waitingLines, int waitingBinds, int uninformedProxies,
+            long oldestUninformed) { }
+
     /**
      * One request class.
      *
@@ -251,9 +276,11 @@
      * @param messageWindow length of that window
      * @param typicalDelay usual delay of a message
      * @param maxDelay maximum delay of a message
+     * @param addressable whether a withdrawal, or a mark, can be sent to some of the proxies concerned; the
+     *        messages of one round are then sent in the order of the proxies' numbers
      */
     record Channel(double linesPerSecond, double messageOverhead, double maxBacklog, int maxMessages,
-            long messageWindow, long typicalDelay, long maxDelay) {
+            long messageWindow, long typicalDelay, long maxDelay, boolean addressable) {
 
         /** Returns the minimum mean time between messages to one proxy; 0 if they are not limited. */
         public double messageGap() {
--- a/src/main/java/rowanmoor/FleetState.java
+++ b/src/main/java/rowanmoor/FleetState.java
@@ -82,6 +82,7 @@
 
     /** The state of one proxy. Arrays of usage and of new reports are indexed by class. */
     static final class ProxyState {
+        final int number;
         int zone;
         boolean joined;
         boolean hasReported;
@@ -99,10 +100,15 @@
         final double[] silentSeconds;
         /** The pool that it uses for each group of classes. */
         final Pool[] pools;
+        /** The number up to which it was told of the {@link PendingWithdrawals}. */
+        long informedUpTo;
+        /** Backends of which this instance told it while its tables were unknown. */
+        final TreeSet<Backend> excluded = new TreeSet<>();
         /** The reply that last opened a message to it. */
         int lastMessageReply;
 
-        ProxyState(int classes, int groups) {
+        ProxyState(int number, int classes, int groups) {
+            this.number = number;
             usage = new double[classes];
             newRequests = new double[classes];
             newSpanSeconds = new double[classes];
@@ -119,6 +125,8 @@
             Arrays.fill(newSpanSeconds, 0);
             hasReported = false;
             bound = false;
+            informedUpTo = 0;
+            excluded.clear();
         }
 
         /**
@@ -276,13 +284,25 @@
         final double linesBefore;
         final double linesPerMessage;
         final int messages;
+        /** Where only some messages are marked: all lines up to each of these, by proxy. */
+        final Map<Integer, Double> linesThrough;
         int answers;
 
-        SentMark(int number, double linesBefore, double linesPerMessage, int messages) {
+        SentMark(int number, double linesBefore, double linesPerMessage, int messages,
+                Map<Integer, Double> linesThrough) {
             this.messages = messages;
             this.number = number;
             this.linesBefore = linesBefore;
             this.linesPerMessage = linesPerMessage;
+            this.linesThrough = linesThrough;
+        }
+
+        /** Takes in the answer of one proxy; returns the lines that have left the channel by it. */
+        double confirmedBy(int proxy) {
+            answers++;
+            int messagesSent = answers >= messages ? messages : answers - 1;
+            return linesThrough.isEmpty() ? linesBefore + linesPerMessage * messagesSent
+                    : linesThrough.getOrDefault(proxy, linesBefore);
         }
     }
 
@@ -301,7 +321,9 @@
         private double assumedLines;
         private double replyLines;
         int replyCount = 1;
-        private int replyMessages;
+        /** The lines of the reply's messages by proxy, which is the order in which they are sent. */
+        private final TreeMap<Integer, Double> replyMessages = new TreeMap<>();
+        private double linesSinceMark;
 
         /**
          * Adds an order of this reply to one proxy.
@@ -312,25 +334,77 @@
         void add(ProxyState proxy, double lines, double messageOverhead) {
             boolean first = proxy.lastMessageReply != replyCount;
             proxy.lastMessageReply = replyCount;
-            replyMessages += first ? 1 : 0;
-            replyLines += lines + (first ? messageOverhead : 0);
+            double added = lines + (first ? messageOverhead : 0);
+            replyMessages.merge(proxy.number, added, Double::sum);
+            replyLines += added;
         }
 
-        /** Ends the reply; returns the number to mark it with, or -1 if it sends nothing. */
+        /** Whether the reply sends anything. */
+        boolean hasReply() {
+            return replyLines > 0;
+        }
+
+        /** Ends the reply; returns the number to mark all of its messages with, or -1 if it sends nothing. */
         int closeReply() {
             if (replyLines == 0) {
                 return -1;
             }
-            int number = Math.floorMod(replyCount++, MARK_NUMBERS);
-            pendingMarks.add(new SentMark(number, sentLines,
-                    replyMessages == 0 ? 0 : replyLines / replyMessages, replyMessages));
+            int messages = replyMessages.size();
+            double linesPerMessage = messages == 0 ? 0 : replyLines / messages;
+            return addMark(new SentMark(nextMarkNumber(), sentLines, linesPerMessage, messages, Map.of()));
+        }
+
+        /**
+         * Ends the reply, of which only some messages are marked: one whenever so many lines were sent since
+         * the last mark, and one if no mark is to be answered. Each mark is a line more.
+         *
+         * @return the marked proxies; the number of the mark is {@link #lastMarkNumber}
+         */
+        List<Integer> closeReply(double linesBetweenMarks) {
+            TreeMap<Integer, Double> linesThrough = new TreeMap<>();
+            double lines = sentLines;
+            for (Map.Entry<Integer, Double> message : replyMessages.entrySet()) {
+                lines += message.getValue();
+                linesSinceMark += message.getValue();
+                boolean unmarked = pendingMarks.isEmpty() && linesThrough.isEmpty();
+                if (unmarked || linesSinceMark >= linesBetweenMarks) {
+                    lines++;
+                    linesSinceMark = 0;
+                    linesThrough.put(message.getKey(), lines);
+                }
+            }
+            replyLines = lines - sentLines;
+            if (linesThrough.isEmpty()) {
+                replyCount += replyLines > 0 ? 1 : 0;
+                endReply();
+            } else {
+                addMark(new SentMark(nextMarkNumber(), sentLines, 0, linesThrough.size(), linesThrough));
+            }
+            return List.copyOf(linesThrough.keySet());
+        }
+
+        /** The number of the last mark. */
+        int lastMarkNumber() {
+            return Math.floorMod(replyCount - 1, MARK_NUMBERS);
+        }
+
+        private int nextMarkNumber() {
+            return Math.floorMod(replyCount++, MARK_NUMBERS);
+        }
+
+        private int addMark(SentMark mark) {
+            pendingMarks.add(mark);
             if (pendingMarks.size() > MAX_PENDING_MARKS) {
                 pendingMarks.poll(); // unanswered for long; an answer to a later mark covers it
             }
+            endReply();
+            return mark.number;
+        }
+
+        private void endReply() {
             sentLines += replyLines;
             replyLines = 0;
-            replyMessages = 0;
-            return number;
+            replyMessages.clear();
         }
 
         int pendingMarkCount() {
@@ -346,22 +420,24 @@
 
         /**
          * Takes in the answer of one proxy to a mark: all replies before it have left the channel, and so has
-         * one message of its own reply for each answer. Which messages these were is not known, so one is not
-         * counted until the last has been answered.
+         * the part of its own reply up to the proxy's message. Where all messages are marked it is not known
+         * which message that was: one message counts for each answer, but one until the last is answered.
          */
-        void markApplied(int mark) {
-            if (pendingMarks.stream().anyMatch(pending -> pending.number == mark)) {
-                while (pendingMarks.peek().number != mark) {
-                    pendingMarks.poll();
-                }
-                SentMark first = pendingMarks.peek();
-                first.answers++;
-                int messagesSent = first.answers >= first.messages ? first.messages : first.answers - 1;
-                double confirmed = first.linesBefore + first.linesPerMessage * messagesSent;
-                if (confirmed > confirmedLines) {
-                    confirmedLines = confirmed;
-                    assumedLines = 0;
-                }
+        void markApplied(int proxy, int mark) {
+            if (pendingMarks.stream().noneMatch(pending -> pending.number == mark)) {
+                return;
+            }
+            while (pendingMarks.peek().number != mark) {
+                pendingMarks.poll();
+            }
+            SentMark answered = pendingMarks.peek();
+            double confirmed = answered.confirmedBy(proxy);
+            if (answered.answers >= answered.messages && !answered.linesThrough.isEmpty()) {
+                pendingMarks.poll();
+            }
+            if (confirmed > confirmedLines) {
+                confirmedLines = confirmed;
+                assumedLines = 0;
             }
         }
 
--- a/src/main/java/rowanmoor/RoutingPolicy.java
+++ b/src/main/java/rowanmoor/RoutingPolicy.java
@@ -5,7 +5,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -24,10 +23,12 @@
 import rowanmoor.ControlApi.Bind;
 import rowanmoor.ControlApi.CatalogUpdateKind;
 import rowanmoor.ControlApi.Channel;
+import rowanmoor.ControlApi.ChannelStatus;
 import rowanmoor.ControlApi.ClassSpec;
 import rowanmoor.ControlApi.Event;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Mark;
+import rowanmoor.ControlApi.MarkAt;
 import rowanmoor.ControlApi.Member;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.Probe;
@@ -41,12 +42,14 @@
 import rowanmoor.ControlApi.Usage;
 import rowanmoor.ControlApi.Watch;
 import rowanmoor.ControlApi.Withdraw;
+import rowanmoor.ControlApi.WithdrawAt;
 import rowanmoor.FleetState.ChannelBacklog;
 import rowanmoor.FleetState.PathStats;
 import rowanmoor.FleetState.Pool;
 import rowanmoor.FleetState.ProxyState;
 import rowanmoor.FleetState.Timers;
 import rowanmoor.FleetState.WeightChange;
+import rowanmoor.PendingWithdrawals.Notice;
 
 /**
  * All decisions of one controller instance: the routing tables, the withdrawals and the admission levels that
@@ -67,6 +70,7 @@
 public final class RoutingPolicy {
 
     private static final double NS_PER_SECOND = 1e9;
+    private static final long NS_PER_MS = 1_000_000L;
     /** The shortest round (the design's pace). */
     private static final long MIN_ROUND_NS = 1_000_000_000L;
 
@@ -200,8 +204,16 @@
     private static final double BIND_BACKLOG_FRACTION = 0.85;
     /** Of the lines that the channel sends within a drain's grace, the fraction that may wait in it. */
     private static final double GRACE_BACKLOG_FRACTION = 0.6;
+    /** The lines of a drain at one proxy: a step of a release drains several backends of a table. */
+    private static final int DRAIN_LINES_PER_PROXY = 3;
+    /** The lines of this many usual delays keep the channel busy: an answered mark takes longer than one. */
+    private static final double BUSY_CHANNEL_DELAYS = 1.5;
+    /** A proxy that waits is bound at once if telling it of withdrawals takes more than this part of it. */
+    private static final double MAX_NOTICE_FRACTION = 0.5;
     /** Fraction of the channel's pace that ordinary lines may use. */
     private static final double ORDINARY_PACE_FRACTION = 0.15;
+    /** A message is marked whenever the channel has sent lines for this time since the last mark. */
+    private static final long MARK_INTERVAL_NS = 50_000_000L;
     /** Least wait for room in the channel. */
     private static final long MIN_SEND_WAIT_NS = 50_000_000L;
     /** Fraction of its pace at which the channel is assumed to send while no mark is answered. */
@@ -225,6 +237,8 @@
         double quietLatency;
         boolean withdrawn;
         boolean heldCold;
+        /** Whether a proxy may hold a line of it: not while it is new and cold. */
+        boolean published;
         /** When the catalog last changed this backend. */
         long memberChangedAt;
 
@@ -284,6 +298,7 @@
     private final List<Action> actions = new ArrayList<>();
     /** Proxies that wait to be bound, in order. */
     private final LinkedHashSet<Integer> bindQueue = new LinkedHashSet<>();
+    private final PendingWithdrawals pendingWithdrawals = new PendingWithdrawals();
     /** The admission level of each class. */
     private final double[] levels;
     /** Whether a class's level is the lowest permitted. */
@@ -354,7 +369,7 @@
         } else if (event instanceof Probed probed && probed.ok() && backends.containsKey(probed.backend())) {
             handleLoad(backends.get(probed.backend()), probed.load());
         } else if (event instanceof Applied applied) {
-            channelBacklog.markApplied(applied.mark());
+            channelBacklog.markApplied(applied.proxy(), applied.mark());
         }
     }
 
@@ -369,6 +384,9 @@
             evaluateRound(now);
         }
         sendOrders(now, round);
+        if (round) {
+            logUninformed(now);
+        }
         List<Action> orders = List.copyOf(actions);
         actions.clear();
         return orders;
@@ -383,6 +401,24 @@
                 .toList();
     }
 
+    /** Returns what waits on the channel, for logs and metrics. */
+    public ChannelStatus channelStatus(long now) {
+        List<Notice> late = pendingWithdrawals.notices(proxies, bindQueue).stream()
+                .filter(Notice::hasDeadline).toList();
+        long oldest = late.stream().mapToLong(notice -> now - notice.since()).max().orElse(0);
+        return new ChannelStatus(channelBacklog.waitingLines(), bindQueue.size(), late.size(), oldest);
+    }
+
+    /** Logs a line if proxies were not told of a withdrawal for half of the grace or longer. */
+    private void logUninformed(long now) {
+        ChannelStatus status = channelStatus(now);
+        if (status.oldestUninformed() * 2 > settings.rules().drainGrace()) {
+            actions.add(new Log(status.uninformedProxies() + " proxies not told of withdrawals for up to "
+                    + status.oldestUninformed() / NS_PER_MS + " ms: " + status.waitingBinds() + " binds and "
+                    + Math.round(status.waitingLines()) + " lines wait"));
+        }
+    }
+
     // ---- 1. Members -------------------------------------------------------------------------------------
     // Applies catalog updates to the known backends and requests the catalog where the site requires that.
 
@@ -396,9 +432,11 @@
         }
         catalogRequestFailures = update.kind() == CatalogUpdateKind.CACHED ? catalogRequestFailures : 0;
         TreeMap<Backend, BackendState> missing = new TreeMap<>(backends);
+        boolean firstList = backends.isEmpty();
         for (Member member : update.entries()) {
             missing.remove(member.backend());
             BackendState state = backends.computeIfAbsent(member.backend(), backend -> new BackendState());
+            state.published |= firstList;
             updateMember(now, state, member);
         }
         if (update.kind() != CatalogUpdateKind.DELTA) {
@@ -1055,7 +1093,7 @@
 
     private void handleJoin(long now, ProxyJoined joined) {
         ProxyState proxy = proxies.computeIfAbsent(joined.proxy(),
-                number -> new ProxyState(levels.length, groups.size()));
+                number -> new ProxyState(number, levels.length, groups.size()));
         boolean keepsPools = proxy.pools[0] != null && region(proxy.zone) == region(joined.zone());
         proxy.join(joined.zone(), now);
         if (proxy.pools[0] == null) {
@@ -1081,10 +1119,17 @@
                 ordinaryLineAllowance + pacedLines * ORDINARY_PACE_FRACTION);
         lastDrainAt = now;
         holdColdBackends(now);
-        if (settings.keyRanges() > 0) {
-            sendWithdrawals(true); // on sites with key ranges only these orders are valid
+        boolean addressable = settings.channel().addressable();
+        if (addressable) {
+            withdrawClosedBackends(now);
+        }
+        if (settings.keyRanges() > 0) { // on such sites only withdrawals are valid
+            sendWithdrawals(now, true);
+            sendNotices(now, false);
+            closeReply(now);
             return;
         }
+        sendNotices(now, true);
         // Waiting proxies are bound before lines are sent: their old tables may hold backends that are gone.
         if (!joinPending && !withdrawalPending()) {
             bindProxies(now);
@@ -1092,7 +1137,7 @@
         boolean due = (round || catalogChangePending || joinPending) && now >= nextMessageAt;
         boolean room = channelBacklog.waitingLines() <= maxBulkLines(URGENT_BACKLOG_FRACTION);
         if (due && channelBacklog.waitingLines() <= maxWaitingLines(URGENT_BACKLOG_FRACTION)) {
-            sendWithdrawals(room);
+            sendWithdrawals(now, room);
         }
         if (due && room) {
             sendLines(computeTables(now), round);
@@ -1110,13 +1155,31 @@
         if (!withdrawalPending()) {
             bindProxies(now);
         }
-        int mark = channelBacklog.closeReply();
-        if (mark >= 0) {
-            actions.add(new Mark(mark)); // its answers tell what has left the channel
+        sendNotices(now, false);
+        closeReply(now);
+    }
+
+    /** Ends the reply: messages of it carry a mark, whose answers tell what has left the channel. */
+    private void closeReply(long now) {
+        boolean sends = channelBacklog.hasReply();
+        if (sends && settings.channel().addressable()) {
+            List<Integer> marked = channelBacklog.closeReply(linesWithin(MARK_INTERVAL_NS));
+            if (!marked.isEmpty()) {
+                actions.add(new MarkAt(channelBacklog.lastMarkNumber(), marked));
+            }
+        } else if (sends) {
+            actions.add(new Mark(channelBacklog.closeReply()));
+        }
+        if (sends) {
             nextMessageAt = now + (long) (MESSAGE_GAP_FACTOR * settings.channel().messageGap());
         }
     }
 
+    /** The lines that a message takes besides those of its orders. */
+    private double messageLines() {
+        return settings.channel().messageOverhead() + (settings.channel().addressable() ? 0 : 1);
+    }
+
     /**
      * Whether a withdrawal waits to be sent. Binds stop then: they would fill the channel again and again.
      */
@@ -1133,42 +1196,87 @@
                 GRACE_BACKLOG_FRACTION * graceSeconds * channel.linesPerSecond());
     }
 
-    /** The same limit for orders that can be deferred. */
+    /** The same limit for orders that can be deferred; binds that wait come before them. */
     private double maxBulkLines(double fraction) {
-        return Math.min(maxWaitingLines(fraction),
+        double maxLines = Math.min(maxWaitingLines(fraction),
                 fraction * BULK_BACKLOG_SECONDS * settings.channel().linesPerSecond());
+        return bindQueue.isEmpty() ? maxLines : Math.min(maxLines, fraction * maxBindLines());
+    }
+
+    /** The lines that may wait in the channel, those of orders that every proxy has to get included. */
+    private double maxFleetLines() {
+        return BIND_BACKLOG_FRACTION * Math.min(settings.channel().maxBacklog(),
+                BULK_BACKLOG_SECONDS * settings.channel().linesPerSecond());
+    }
+
+    /**
+     * The lines that may wait in the channel when a proxy is bound, those under way included: so many that a
+     * drain behind them still reaches all proxies within the grace, since all may come to one instance, and
+     * at least as many as keep the channel busy.
+     */
+    private double maxBindLines() {
+        long usualDelay = settings.channel().typicalDelay();
+        double graceLines = linesWithin(settings.rules().drainGrace() - usualDelay);
+        double drainLines = settings.proxies() * (messageLines() + DRAIN_LINES_PER_PROXY);
+        double busyLines = BUSY_CHANNEL_DELAYS * linesWithin(usualDelay);
+        return Math.min(maxFleetLines(), Math.max(busyLines, graceLines - drainLines));
+    }
+
+    /** The lines that the channel sends in a time. */
+    private double linesWithin(long durationNs) {
+        return durationNs / NS_PER_SECOND * settings.channel().linesPerSecond();
     }
 
     /** Binds waiting proxies in order, as far as the channel has room; sets a timer for the others. */
     private void bindProxies(long now) {
-        Channel channel = settings.channel();
-        double maxLines = BIND_BACKLOG_FRACTION
-                * Math.min(channel.maxBacklog(), BULK_BACKLOG_SECONDS * channel.linesPerSecond());
-        for (Iterator<Integer> queue = bindQueue.iterator(); queue.hasNext();) {
-            int number = queue.next();
+        double maxLines = maxBindLines();
+        for (int number : List.copyOf(bindQueue)) {
             ProxyState proxy = proxies.get(number);
-            double lines = 0;
-            for (Pool pool : proxy.pools) {
-                lines += 1 + pool.sentWeights.size() + groups.get(pool.group).size();
-                lines += pool.sentWeights.keySet().stream()
-                        .filter(backend -> backends.get(backend).withdrawn).count();
-                lines += backendsToReadmit(now, proxy, pool).size();
-            }
-            double excess = channelBacklog.waitingLines() + lines
-                    + settings.channel().messageOverhead() + 1 - maxLines;
-            if (channelBacklog.waitingLines() > 0 && excess > 0) {
-                double waitNs = NS_PER_SECOND * excess / settings.channel().linesPerSecond();
-                timers.set(now, now + Math.max(MIN_SEND_WAIT_NS, (long) waitNs), Timers.BIND, actions);
+            double lines = bindLines(now, proxy);
+            if (!hasRoom(now, lines, maxLines, Timers.BIND)) {
                 return;
             }
-            for (Pool pool : proxy.pools) {
-                int classes = groups.get(pool.group).stream().mapToInt(cls -> 1 << cls).sum();
-                actions.add(new Bind(number, pool.table, classes, backendsToReadmit(now, proxy, pool)));
-            }
-            channelBacklog.add(proxy, lines, settings.channel().messageOverhead() + 1);
-            proxy.bound = true;
-            queue.remove();
+            bind(now, proxy, lines);
+        }
+    }
+
+    private void bind(long now, ProxyState proxy, double lines) {
+        for (Pool pool : proxy.pools) {
+            int classes = groups.get(pool.group).stream().mapToInt(cls -> 1 << cls).sum();
+            actions.add(new Bind(proxy.number, pool.table, classes, backendsToReadmit(now, proxy, pool)));
         }
+        channelBacklog.add(proxy, lines, messageLines());
+        proxy.bound = true;
+        pendingWithdrawals.markInformed(proxy);
+        bindQueue.remove(proxy.number);
+    }
+
+    /** The lines that the bind of a proxy takes, without those of a message. */
+    private double bindLines(long now, ProxyState proxy) {
+        double lines = 0;
+        for (Pool pool : proxy.pools) {
+            lines += 1 + pool.sentWeights.size() + groups.get(pool.group).size();
+            long withdrawn = pool.sentWeights.keySet().stream()
+                    .filter(backend -> backends.get(backend).withdrawn).count();
+            lines += settings.channel().addressable() ? -withdrawn : withdrawn;
+            lines += backendsToReadmit(now, proxy, pool).size();
+        }
+        return lines;
+    }
+
+    /**
+     * Whether a message with these lines keeps the waiting lines within a limit; always if none wait. If not,
+     * a timer is set.
+     */
+    private boolean hasRoom(long now, double lines, double maxLines, int timerKind) {
+        double waiting = channelBacklog.waitingLines();
+        double excess = waiting + lines + messageLines() - maxLines;
+        if (waiting <= 0 || excess <= 0) {
+            return true;
+        }
+        double waitNs = NS_PER_SECOND * excess / settings.channel().linesPerSecond();
+        timers.set(now, now + Math.max(MIN_SEND_WAIT_NS, (long) waitNs), timerKind, actions);
+        return false;
     }
 
     /**
@@ -1187,7 +1295,11 @@
     /** Adds an order and counts its line for each recipient. */
     private void emit(Action action, Collection<ProxyState> recipients) {
         actions.add(action);
-        recipients.forEach(proxy -> channelBacklog.add(proxy, 1, settings.channel().messageOverhead() + 1));
+        addLines(recipients, 1);
+    }
+
+    private void addLines(Collection<ProxyState> recipients, double lines) {
+        recipients.forEach(proxy -> channelBacklog.add(proxy, lines, messageLines()));
     }
 
     /**
@@ -1204,32 +1316,124 @@
     }
 
     /**
-     * Withdraws backends that are drained, gone or held back. Others are readmitted only when their lines are
-     * set again. Proxies that wait to be bound may hold any backend; if telling them takes more lines than
-     * may wait, they learn it from the table that they are bound to.
+     * Withdraws backends that are drained, gone or held back, where proxies can be told one by one. Nobody is
+     * told yet: {@link #sendNotices} does that.
+     */
+    private void withdrawClosedBackends(long now) {
+        List<Backend> closed = new ArrayList<>();
+        List<String> reasons = new ArrayList<>();
+        for (BackendState state : backends.values()) {
+            state.published |= state.isOpen() || !state.isReady();
+            if (state.isOpen()) {
+                continue;
+            }
+            if (state.published) {
+                pendingWithdrawals.add(state.member.backend(), state.isReady(),
+                        state.isReady() ? now : state.memberChangedAt);
+            }
+            if (!state.withdrawn) {
+                state.withdrawn = true;
+                closed.add(state.member.backend());
+                reasons.add(withdrawalReason(now, state));
+            }
+        }
+        if (!closed.isEmpty()) {
+            actions.add(new WithdrawAt(closed, List.of()));
+        }
+        logBackends("withdrawn", reasons);
+    }
+
+    private static String withdrawalReason(long now, BackendState state) {
+        return state.member.backend() + " listed " + state.member.availability() + " for "
+                + (now - state.memberChangedAt) / NS_PER_MS + " ms";
+    }
+
+    /**
+     * Tells proxies of withdrawals as the channel has room, those first that have waited longest. A proxy
+     * that waits to be bound may hold any backend. Where telling it of all withdrawals takes almost as much
+     * as its bind, it is bound at once.
+     *
+     * @param mayBind whether proxies that have joined just now may still be bound by this reply, which tells
+     *        them as well
+     */
+    private void sendNotices(long now, boolean mayBind) {
+        Map<List<Backend>, List<Integer>> recipients = new LinkedHashMap<>();
+        for (Notice notice : pendingWithdrawals.notices(proxies, bindQueue)) {
+            ProxyState proxy = notice.proxy();
+            boolean newlyJoined = !proxy.bound && proxy.informedUpTo == 0;
+            if (mayBind && newlyJoined && proxy.joinedAt == now) {
+                continue;
+            }
+            if (now < nextMessageAt && !newlyJoined) {
+                timers.set(now, nextMessageAt, Timers.SEND, actions);
+                continue;
+            }
+            List<Backend> told = notice.backends();
+            double bindLines = proxy.bound || settings.keyRanges() > 0 ? Double.POSITIVE_INFINITY
+                    : bindLines(now, proxy);
+            boolean bindTells = told.size() > MAX_NOTICE_FRACTION * bindLines;
+            if (!hasRoom(now, bindTells ? bindLines : told.size(), maxFleetLines(), Timers.SEND)) {
+                break;
+            }
+            if (bindTells) {
+                bind(now, proxy, bindLines);
+                continue;
+            }
+            channelBacklog.add(proxy, told.size(), messageLines());
+            pendingWithdrawals.markInformed(proxy);
+            if (!proxy.bound) {
+                proxy.excluded.addAll(told);
+            }
+            recipients.computeIfAbsent(told, key -> new ArrayList<>()).add(proxy.number);
+        }
+        recipients.forEach((told, numbers) -> actions.add(new WithdrawAt(told, numbers)));
+    }
+
+    /**
+     * Withdraws backends that are drained, gone or held back where only the whole fleet can be told, and
+     * readmits others, which happens only when their lines are set again. Proxies that wait to be bound may
+     * hold any backend; if telling them takes more lines than may wait, they learn it from the table that
+     * they are bound to.
      *
      * @param readmit whether backends are readmitted too
      */
-    private void sendWithdrawals(boolean readmit) {
+    private void sendWithdrawals(long now, boolean readmit) {
         List<String> withdrawn = new ArrayList<>();
         List<String> readmitted = new ArrayList<>();
         List<BackendState> changed = backends.values().stream()
                 .filter(state -> state.withdrawn == state.isOpen() && (readmit || !state.withdrawn)).toList();
         long unbound = proxies.values().stream().filter(proxy -> proxy.joined && !proxy.bound).count();
-        double lines = unbound * (settings.channel().messageOverhead() + 1 + changed.size());
-        boolean boundOnly = channelBacklog.waitingLines() + lines > maxBulkLines(URGENT_BACKLOG_FRACTION);
+        double lines = unbound * (messageLines() + changed.size());
+        boolean unboundFit =
+                channelBacklog.waitingLines() + lines <= maxBulkLines(URGENT_BACKLOG_FRACTION);
+        boolean boundOnly =
+                settings.keyRanges() == 0 && (settings.channel().addressable() || !unboundFit);
         for (BackendState state : changed) {
             Backend backend = state.member.backend();
             state.withdrawn = !state.withdrawn;
-            String reason = state.withdrawn ? " listed " + state.member.availability() : "";
-            (state.withdrawn ? withdrawn : readmitted).add(backend + reason);
-            emit(new Withdraw(backend, state.withdrawn, boundOnly), proxies.values().stream()
-                    .filter(proxy -> proxy.mayHold(backend, boundOnly)).toList());
+            List<ProxyState> recipients = recipients(backend, boundOnly);
+            emit(new Withdraw(backend, state.withdrawn, boundOnly), recipients);
+            if (state.withdrawn) {
+                withdrawn.add(withdrawalReason(now, state));
+            } else {
+                readmitted.add(backend.toString());
+                pendingWithdrawals.remove(backend);
+                // Those that were bound while it was withdrawn get its line as well.
+                addLines(settings.channel().addressable() ? recipients : List.of(), 1);
+            }
         }
         logBackends("withdrawn", withdrawn);
         logBackends("let in again", readmitted);
     }
 
+    /** The proxies that an order on a backend goes to: those that may hold it or were told of it. */
+    private List<ProxyState> recipients(Backend backend, boolean boundOnly) {
+        return proxies.values().stream()
+                .filter(proxy -> proxy.joined && proxy.excluded.remove(backend)
+                        || proxy.mayHold(backend, boundOnly))
+                .toList();
+    }
+
     /**
      * Removes backends that are long gone, since machines are replaced for years: first their lines, then
      * their state. Nothing is removed while a proxy waits to be bound: its old tables may hold such a
@@ -1245,8 +1449,9 @@
                 pools.forEach(pool -> pool.remove(backend));
                 if (pools.stream().noneMatch(pool -> pool.sentWeights.containsKey(backend))) {
                     backends.remove(backend);
+                    pendingWithdrawals.remove(backend);
                     // For those that keep a list of withdrawals: no table holds the backend any more.
-                    actions.add(new Withdraw(backend, false));
+                    emit(new Withdraw(backend, false), recipients(backend, false));
                 }
             }
         }
--- a/src/main/java/rowanmoor/channel/Frame.java
+++ b/src/main/java/rowanmoor/channel/Frame.java
@@ -1,6 +1,7 @@
 package rowanmoor.channel;
 
 import java.util.List;
+import java.util.Set;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.RetryPolicy;
 
@@ -85,7 +86,14 @@
     record Level(int classMask, double level, RetryPolicy retry) { }
 
     /** A routing table with the admission levels that belong to it. */
-    record Table(int number, List<Line> lines, List<Level> levels) { }
+    record Table(int number, List<Line> lines, List<Level> levels) {
+
+        /** Returns this table without the lines of some backends. */
+        public Table without(Set<Backend> backends) {
+            List<Line> others = lines.stream().filter(line -> !backends.contains(line.backend())).toList();
+            return new Table(number, others, levels);
+        }
+    }
 
     /** Assigns a table to some classes. */
     record Binding(int table, int classMask) { }
--- a/src/main/java/rowanmoor/config/Site.java
+++ b/src/main/java/rowanmoor/config/Site.java
@@ -168,7 +168,8 @@
                 section.number("head", 0, 1000, 4), section.number("backlog", 1, 1e7),
                 section.integer("messages-most", 0, 10000, 0),
                 section.durationNs("messages-over", "1s", "10min", "10s"),
-                section.durationNs("late", "0s", "10s"), section.durationNs("latest", "0s", "30s"));
+                section.durationNs("late", "0s", "10s"), section.durationNs("latest", "0s", "30s"),
+                true);
         section.rejectUnknownKeys();
         return channel;
     }
--- a/src/main/java/rowanmoor/controller/Driver.java
+++ b/src/main/java/rowanmoor/controller/Driver.java
@@ -13,6 +13,7 @@
 import rowanmoor.ControlApi.Event;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Mark;
+import rowanmoor.ControlApi.MarkAt;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.Probe;
 import rowanmoor.ControlApi.ProxyJoined;
@@ -201,10 +202,9 @@
                 settings.channel().messageOverhead() + orders.stream().mapToInt(Frame::lineCount).sum()));
         for (Action action : actions) {
             if (action instanceof Mark a) {
-                markTimesNs.put(a.number(), now);
-                if (markTimesNs.size() > MAX_TRACKED_MARKS) {
-                    markTimesNs.remove(markTimesNs.keySet().iterator().next());
-                }
+                trackMark(now, a.number());
+            } else if (action instanceof MarkAt a) {
+                trackMark(now, a.number());
             } else if (action instanceof Watch a) {
                 environment.watch(a.on());
             } else if (action instanceof Probe a) {
@@ -215,6 +215,13 @@
         }
     }
 
+    private void trackMark(long now, int number) {
+        markTimesNs.put(number, now);
+        if (markTimesNs.size() > MAX_TRACKED_MARKS) {
+            markTimesNs.remove(markTimesNs.keySet().iterator().next());
+        }
+    }
+
     /** Sends due messages. The version is assigned only now, so that discarded messages leave no gap. */
     private void sendDueMessages(long now) {
         for (var entry = outbox.poll(now); entry != null; entry = outbox.poll(now)) {
--- a/src/main/java/rowanmoor/controller/Trace.java
+++ b/src/main/java/rowanmoor/controller/Trace.java
@@ -1,5 +1,6 @@
 package rowanmoor.controller;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.type.TypeReference;
@@ -114,6 +115,9 @@
         @JsonProperty("late") long typicalDelay();
 
         @JsonProperty("latest") long maxDelay();
+
+        /** Left out where it is false, as in traces from before there was one. */
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean addressable();
     }
 
     private interface SettingsNames {
--- a/src/main/java/rowanmoor/host/Fanout.java
+++ b/src/main/java/rowanmoor/host/Fanout.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import rowanmoor.ControlApi.Action;
@@ -12,9 +14,11 @@
 import rowanmoor.ControlApi.Bind;
 import rowanmoor.ControlApi.CatalogUpdateKind;
 import rowanmoor.ControlApi.Mark;
+import rowanmoor.ControlApi.MarkAt;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.SetLine;
 import rowanmoor.ControlApi.Withdraw;
+import rowanmoor.ControlApi.WithdrawAt;
 import rowanmoor.channel.Frame;
 
 /**
@@ -26,6 +30,10 @@
     /** The table to which a joined proxy is bound, by class; -1 if it is not bound. */
     private static final class ProxyTables {
         private final int[] tables;
+        /** Backends of which it was told while some of its tables were unknown. */
+        private final TreeSet<Backend> excluded = new TreeSet<>();
+        /** By table: the backends that were withdrawn when it was bound, whose lines it did not get. */
+        private final TreeMap<Integer, Set<Backend>> omitted = new TreeMap<>();
 
         ProxyTables(int classes) {
             this.tables = new int[classes];
@@ -37,6 +45,17 @@
             return Arrays.stream(tables).anyMatch(t -> t < 0 ? !boundOnly : store.contains(t, backend));
         }
 
+        boolean isBound() {
+            return Arrays.stream(tables).allMatch(t -> t >= 0);
+        }
+
+        /** Returns the tables in which it lacks the line of a backend. */
+        List<Integer> tablesWithout(Backend backend) {
+            return omitted.entrySet().stream()
+                    .filter(entry -> boundClasses(entry.getKey()) != 0 && entry.getValue().contains(backend))
+                    .map(Map.Entry::getKey).toList();
+        }
+
         int boundClasses(int table) {
             int classMask = 0;
             for (int c = 0; c < tables.length; c++) {
@@ -145,9 +164,16 @@
             if (action instanceof SetLine a) {
                 store.setLine(a.table(), a.backend(), a.weight());
                 Frame.Line line = new Frame.Line(a.backend(), a.weight());
-                addForUsers(messages, a.table(), new Frame.SetLine(a.table(), line));
+                proxies.forEach((proxy, bound) -> {
+                    if (bound.boundClasses(a.table()) != 0
+                            && !bound.tablesWithout(a.backend()).contains(a.table())) {
+                        addOrder(messages, proxy, new Frame.SetLine(a.table(), line));
+                    }
+                });
             } else if (action instanceof Withdraw a) {
                 withdraw(messages, a);
+            } else if (action instanceof WithdrawAt a) {
+                withdrawAt(messages, a);
             } else if (action instanceof Admit a) {
                 store.admit(a.table(), a);
                 Frame.Level level = TableStore.levelFrame(a, classes);
@@ -156,6 +182,9 @@
                 bind(messages, a);
             } else if (action instanceof Mark a) {
                 messages.values().forEach(orders -> orders.add(new Frame.Mark(a.number())));
+            } else if (action instanceof MarkAt a) {
+                a.proxies().stream().filter(messages::containsKey)
+                        .forEach(proxy -> addOrder(messages, proxy, new Frame.Mark(a.number())));
             }
         }
         return messages;
@@ -169,12 +198,40 @@
             availability.remove(backend); // the policy has released it
         }
         proxies.forEach((proxy, bound) -> {
-            if (bound.holds(store, backend, withdraw.boundOnly())) {
+            boolean readmitted = !withdrawn && bound.excluded.remove(backend);
+            if (readmitted || bound.holds(store, backend, withdraw.boundOnly())) {
                 addOrder(messages, proxy, new Frame.Withdraw(backend, withdrawn));
             }
+            if (!withdrawn) {
+                bound.tablesWithout(backend).forEach(table -> addLine(messages, proxy, table, backend));
+                bound.omitted.values().forEach(backends -> backends.remove(backend));
+            }
         });
     }
 
+    private void addLine(TreeMap<Integer, List<Frame.Order>> messages, int proxy, int table,
+            Backend backend) {
+        Double weight = store.weights(table).get(backend);
+        if (weight != null) {
+            addOrder(messages, proxy, new Frame.SetLine(table, new Frame.Line(backend, weight)));
+        }
+    }
+
+    private void withdrawAt(TreeMap<Integer, List<Frame.Order>> messages, WithdrawAt withdrawAt) {
+        withdrawAt.backends().forEach(backend -> store.withdraw(backend, true));
+        for (int proxy : withdrawAt.proxies()) {
+            ProxyTables bound = proxies.get(proxy);
+            for (Backend backend : bound == null ? List.<Backend>of() : withdrawAt.backends()) {
+                if (bound.holds(store, backend, false)) {
+                    addOrder(messages, proxy, new Frame.Withdraw(backend, true));
+                }
+                if (!bound.isBound()) {
+                    bound.excluded.add(backend);
+                }
+            }
+        }
+    }
+
     private void bind(TreeMap<Integer, List<Frame.Order>> messages, Bind bind) {
         ProxyTables bound = proxies.get(bind.proxy());
         int classMask = bind.classMask() == 0 ? (1 << classes) - 1 : bind.classMask();
@@ -183,8 +240,10 @@
                 bound.tables[c] = bind.table();
             }
         }
-        addOrder(messages, bind.proxy(), new Frame.Bind(classMask, store.snapshot(bind.table()),
-                store.withdrawnIn(bind.table())));
+        Set<Backend> withdrawn = new TreeSet<>(store.withdrawnIn(bind.table()));
+        bound.omitted.put(bind.table(), withdrawn);
+        addOrder(messages, bind.proxy(), new Frame.Bind(classMask,
+                store.snapshot(bind.table()).without(withdrawn), List.of()));
         bind.readmitted().forEach(b -> addOrder(messages, bind.proxy(), new Frame.Withdraw(b, false)));
     }
 
--- a/src/main/java/rowanmoor/host/TickRunner.java
+++ b/src/main/java/rowanmoor/host/TickRunner.java
@@ -136,6 +136,11 @@
         return policy.backendEstimates(now);
     }
 
+    /** Returns what waits on the channel. */
+    public ControlApi.ChannelStatus channelStatus(long now) {
+        return policy.channelStatus(now);
+    }
+
     /**
      * Returns when the next tick is due if no more events arrive: {@link Long#MIN_VALUE} for at once,
      * {@link Long#MAX_VALUE} for never.
--- a/src/main/java/rowanmoor/platform/PlatformController.java
+++ b/src/main/java/rowanmoor/platform/PlatformController.java
@@ -17,6 +17,7 @@
 import rowanmoor.ControlApi.Availability;
 import rowanmoor.ControlApi.Backend;
 import rowanmoor.ControlApi.CatalogUpdateKind;
+import rowanmoor.ControlApi.ChannelStatus;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Members;
 import rowanmoor.ControlApi.Probe;
@@ -444,10 +445,14 @@
 
     private void logStats() {
         Runtime runtime = Runtime.getRuntime();
+        ChannelStatus channel = tickRunner.channelStatus(loop.now());
         log.accept("stats: " + proxies.size() + " proxies, " + unjoined.size() + " unjoined, "
                 + openConnections + " open, " + instances.size() + " instances, " + catalogView.trackedCount()
                 + " listed, " + malformedCount + " malformed, " + Math.round(sentLines) + " lines sent, "
-                + rejectedCount + " rejected, " + decisionCount + " decisions, mean "
+                + Math.round(channel.waitingLines()) + " lines waiting, " + channel.waitingBinds()
+                + " binds waiting, " + channel.uninformedProxies() + " uninformed for up to "
+                + channel.oldestUninformed() / NS_PER_MS + " ms, " + rejectedCount + " rejected, "
+                + decisionCount + " decisions, mean "
                 + decisionTimeNs / Math.max(1, decisionCount) / 1000 + " us, max "
                 + maxDecisionTimeNs / 1000 + " us, heap "
                 + (runtime.totalMemory() - runtime.freeMemory()) / 1024 + " KiB");
--- a/src/main/java/rowanmoor/settings/SettingsReader.java
+++ b/src/main/java/rowanmoor/settings/SettingsReader.java
@@ -32,9 +32,12 @@
             List<String> classes, List<String> columns, long tick) { }
 
     private final Map<String, String> values;
+    /** Whether withdrawals can be sent to single proxies: the bench's protocol has none that can. */
+    private final boolean addressable;
 
-    private SettingsReader(Map<String, String> values) {
+    private SettingsReader(Map<String, String> values, boolean addressable) {
         this.values = values;
+        this.addressable = addressable;
     }
 
     /**
@@ -50,7 +53,7 @@
                 values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
             }
         }
-        return new SettingsReader(values).settings();
+        return new SettingsReader(values, false).settings();
     }
 
     /**
@@ -61,7 +64,7 @@
     public static NamedSettings fromTree(Map<String, Object> tree) {
         Map<String, String> values = new HashMap<>();
         tree.forEach((key, value) -> flatten(key, value, values));
-        SettingsReader reader = new SettingsReader(values);
+        SettingsReader reader = new SettingsReader(values, true);
         Settings settings = reader.settings();
         List<String> names = new ArrayList<>();
         for (int i = 0; i < settings.classes().size(); i++) {
@@ -135,7 +138,7 @@
         return new Channel(number("extra.egress_per_s"), number("extra.per_message"),
                 number("extra.most_waiting"), integer("extra.messages_most"),
                 nanoseconds("extra.update_window_ns"), nanoseconds("extra.late_ns"),
-                nanoseconds("extra.transit_max_ns"));
+                nanoseconds("extra.transit_max_ns"), addressable);
     }
 
     private String text(String key) {
