Judge: drained backends must leave all tables in time, whether or not requests go there

Change: a verdict "drained backends shut out in time" from the replayed state of each proxy: the time from the drain, or the join if that is later, until no class can pick the backend; its count of cases is that of lines kept from before the stream. Test: a proxy that joins with a drained backend in its old table, told and untold.

--- a/src/main/java/rowanmoor/lab/ProxyStateModel.java
+++ b/src/main/java/rowanmoor/lab/ProxyStateModel.java
@@ -133,6 +133,16 @@
         return counts;
     }
 
+    /** The backends that can be picked for some class. */
+    TreeSet<Backend> availableBackends() {
+        TreeSet<Backend> available = new TreeSet<>();
+        for (int c = 0; c < tableByClass.length; c++) {
+            available.addAll(lines(c).keySet());
+        }
+        available.removeAll(withdrawn);
+        return available;
+    }
+
     /** Number of classes that have fewer available lines than before. */
     long countDecreases(int[] before) {
         int[] now = availableCounts();
--- a/src/main/java/rowanmoor/lab/RuleChecker.java
+++ b/src/main/java/rowanmoor/lab/RuleChecker.java
@@ -83,6 +83,9 @@
     private double longestWithoutBackend;
     private long backendLossCount;
     private final FirstViolation firstWithoutBackend = new FirstViolation();
+    private long longestDrainedLine;
+    private long keptLineCount;
+    private final FirstViolation firstDrainedLine = new FirstViolation();
     private int numberingErrors;
     private final FirstViolation firstNumberingError = new FirstViolation();
 
@@ -110,7 +113,7 @@
                         rules.maxTimeWithoutBackend() / NS_PER_SECOND, longestWithoutBackend / NS_PER_SECOND,
                         longestWithoutBackend > rules.maxTimeWithoutBackend(),
                         firstWithoutBackend.text, firstWithoutBackend.at, backendLossCount),
-                checkEffects(), checkDrains(), checkColdOverloads(), checkQueue(),
+                checkEffects(), checkDrains(), drainedLines(), checkColdOverloads(), checkQueue(),
                 new Verdict("messages numbered without gaps", "gaps", 0, numberingErrors, numberingErrors > 0,
                         firstNumberingError.text, firstNumberingError.at, messages.size())));
         if (channel.maxMessages() > 0) {
@@ -144,6 +147,7 @@
                 if (session != null) {
                     session.toNs = tap.at();
                     updateWithoutBackend(session, state, withoutBackendSince, tap.at(), true);
+                    checkDrainedLines(session, state.availableBackends(), tap.at());
                     session = null;
                 }
             } else {
@@ -154,6 +158,7 @@
                         break;
                     }
                     int[] before = state.availableCounts();
+                    TreeSet<Backend> removed = state.availableBackends();
                     String wrong = state.apply(frame);
                     backendLossCount += session == null ? 0 : state.countDecreases(before);
                     if (wrong != null) {
@@ -167,7 +172,9 @@
                         sessions.computeIfAbsent(proxy, p -> new ArrayList<>()).add(session);
                     }
                     recordMessage(frame, tap.at(), session);
+                    removed.removeAll(state.availableBackends());
                     if (session != null) {
+                        checkDrainedLines(session, removed, tap.at());
                         updateWithoutBackend(session, state, withoutBackendSince, tap.at(), false);
                     }
                 }
@@ -175,9 +182,35 @@
         }
         if (session != null) {
             updateWithoutBackend(session, state, withoutBackendSince, evidence.end(), true);
+            checkDrainedLines(session, state.availableBackends(), evidence.end());
         }
     }
 
+    /** Checks until when a joined proxy could pick backends that were not ready. */
+    private void checkDrainedLines(StreamSession session, TreeSet<Backend> backends, long until) {
+        for (Backend backend : backends) {
+            long since = notReadySince(session.rank, backend, until);
+            long held = since < 0 ? 0 : until - Math.max(since, session.fromNs);
+            keptLineCount += since >= 0 && since < session.fromNs ? 1 : 0;
+            longestDrainedLine = Math.max(longestDrainedLine, held);
+            if (held > rules.drainGrace()) {
+                firstDrainedLine.record(until - held + rules.drainGrace(), "proxy " + session.proxy
+                        + " could pick " + backend + " until " + formatTime(until) + ", told at "
+                        + formatTime(since));
+            }
+        }
+    }
+
+    /**
+     * Holds whether or not a request went there, also for lines that a proxy kept from an earlier controller;
+     * {@code met} counts these.
+     */
+    private Verdict drainedLines() {
+        return new Verdict("drained backends shut out in time", "s", rules.drainGrace() / NS_PER_SECOND,
+                longestDrainedLine / NS_PER_SECOND, longestDrainedLine > rules.drainGrace(),
+                firstDrainedLine.text, firstDrainedLine.at, keptLineCount);
+    }
+
     private Frame readFrame(FrameReader reader, ByteBuffer bytes, int proxy, long at) {
         try {
             return reader.next(bytes);
--- a/src/test/java/rowanmoor/lab/RuleCheckerTest.java
+++ b/src/test/java/rowanmoor/lab/RuleCheckerTest.java
@@ -74,6 +74,21 @@
         assertEquals(104 * SECOND, drain.firstAt());
     }
 
+    /** A proxy kept its table from an earlier controller, and the judge saw it only if a request went there. */
+    @Test
+    void drainedBackendInATableOfAnEarlierControllerCountsWithoutARequest() throws ConfigException {
+        rosterAnswers(100, Availability.DRAINING, 0);
+        proxyJoins(101);
+        proxyReads(103, new Frame.Update(7, 1, 0, 0, List.of(new Frame.Withdraw(B, true))));
+        RuleChecker.Verdict told = verdict("drained backends shut out in time", 120, List.of(B));
+        assertFalse(told.broken(), "2 s after the join");
+        assertEquals(1, told.met(), "the line was kept from before the stream");
+        taps.remove(taps.size() - 1);
+        RuleChecker.Verdict untold = verdict("drained backends shut out in time", 120, List.of(B));
+        assertTrue(untold.broken(), untold.toString());
+        assertEquals(103_500, untold.firstAt() / 1_000_000, "2.5 s after the join");
+    }
+
     @Test
     void requestedSnapshotsCountInTheQueue() throws ConfigException {
         proxyJoins(100);
