A proxy that moves to another pool is itself bound to it

On older code only uneven load, as withdrawals went out by the tables that proxies really had. Measured: FleetWithdrawalTest.proxyThatIsMovedToAnotherPoolIsBoundToIt is red before (7,995 ms for 2,000) and green after.

--- a/src/main/java/rowanmoor/RoutingPolicy.java
+++ b/src/main/java/rowanmoor/RoutingPolicy.java
@@ -885,14 +885,13 @@
         Pool busiest = Collections.max(pools, Comparator.comparing(this::poolDemand));
         Pool idlest = Collections.min(pools, Comparator.comparing(this::poolDemand));
         double gap = poolDemand(busiest) - poolDemand(idlest);
-        busiest.proxies.entrySet().stream()
-                .filter(entry -> gap > REBALANCE_GAP_FRACTION * poolDemand(busiest)
-                        && workRate(entry.getValue(), busiest.group) < gap)
-                .min(Comparator.comparing(entry ->
-                        Math.abs(workRate(entry.getValue(), busiest.group) - gap / 2)))
-                .ifPresent(entry -> {
-                    entry.getValue().moveTo(entry.getKey(), idlest);
-                    bindQueue.add(entry.getKey());
+        busiest.proxies.values().stream()
+                .filter(proxy -> gap > REBALANCE_GAP_FRACTION * poolDemand(busiest)
+                        && workRate(proxy, busiest.group) < gap)
+                .min(Comparator.comparing(proxy -> Math.abs(workRate(proxy, busiest.group) - gap / 2)))
+                .ifPresent(proxy -> {
+                    proxy.moveTo(proxy.number, idlest);
+                    bindQueue.add(proxy.number);
                 });
     }
 
--- a/src/test/java/rowanmoor/FleetWithdrawalTest.java
+++ b/src/test/java/rowanmoor/FleetWithdrawalTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import rowanmoor.ControlApi.Availability;
 import rowanmoor.ControlApi.CatalogUpdateKind;
+import rowanmoor.ControlApi.Usage;
 
 /**
  * Withdrawals reach every joined proxy within the grace, 2 s here, whatever its tables come from: a proxy that
@@ -109,6 +110,23 @@
         }
     }
 
+    /** The number of a proxy that moved was read after the move had changed the entry: another one was bound. */
+    @Test
+    void proxyThatIsMovedToAnotherPoolIsBoundToIt() {
+        SimulatedFleet fleet = new SimulatedFleet(TestSettings.herd(100, 0), 60).joinOver(0, 100, 2 * SECOND);
+        for (int round = 0; round < 30; round++) {
+            for (int proxy = 0; proxy < 100; proxy++) {
+                int requests = (proxy / 2 + round / 6) % 5 == 0 ? 40 : 2; // the load goes from pool to pool
+                fleet.policy.handle(fleet.now, new Usage(proxy, 0, requests, 0, SECOND));
+            }
+            fleet.run(SECOND);
+        }
+        fleet.worstNs = 0;
+        drain(fleet, 0, 30);
+        assertToldInTime(fleet.run(8 * SECOND));
+        assertTrue(fleet.rebinds > 10, fleet.rebinds + " proxies moved");
+    }
+
     /** On sites with key ranges nothing else tells a proxy that joins later, and the backlog was never closed. */
     @Test
     void siteWithKeyRangesTellsLaterProxiesAndKeepsTellingThem() {
--- a/src/test/java/rowanmoor/SimulatedFleet.java
+++ b/src/test/java/rowanmoor/SimulatedFleet.java
@@ -12,6 +12,7 @@
 import rowanmoor.ControlApi.Applied;
 import rowanmoor.ControlApi.Availability;
 import rowanmoor.ControlApi.Backend;
+import rowanmoor.ControlApi.Bind;
 import rowanmoor.ControlApi.CatalogUpdateKind;
 import rowanmoor.ControlApi.Log;
 import rowanmoor.ControlApi.Member;
@@ -65,6 +66,8 @@
     /** The longest time for which a proxy could send to a drained or gone backend since it should know, ns. */
     long worstNs;
     double mostLines;
+    /** Binds of proxies that had been bound before on the same stream. */
+    int rebinds;
     final List<String> log = new ArrayList<>();
     private final Settings settings;
     private final Fanout fanout;
@@ -131,6 +134,8 @@
             deliver();
             measure();
             List<Action> actions = policy.decide(now);
+            rebinds += actions.stream().filter(action -> action instanceof Bind bind
+                    && !fanout.bindings(bind.proxy()).isEmpty()).count();
             actions.stream().filter(Log.class::isInstance).forEach(action -> log.add(((Log) action).text()));
             fanout.ordersByProxy(actions).forEach(this::send);
         }
