--- a/review/standin-2/Collector.java
+++ b/review/standin-2/Collector.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 
 /** The collector of one zone: sums up tries and passes them on once an interval. */
 final class Collector {
@@ -10,10 +11,18 @@
     private final String zone;
     private final int port;
     private final long intervalMs;
+    /** By backend: tries, failed ones, and the time of the others in ms. */
     private final Map<String, long[]> sums = new TreeMap<>();
+    private final UnaryOperator<String> metrics;
     private Socket socket;
 
     Collector(String zone, int port, long intervalMs) {
+        this(zone, port, intervalMs, backend -> "util:0.45,inflight:2,latency_ms:55");
+    }
+
+    /** @param metrics the newest load report of a backend */
+    Collector(String zone, int port, long intervalMs, UnaryOperator<String> metrics) {
+        this.metrics = metrics;
         this.zone = zone;
         this.port = port;
         this.intervalMs = intervalMs;
@@ -21,9 +30,14 @@
     }
 
     synchronized void add(String backend, long tries, long failed) {
-        long[] sum = sums.computeIfAbsent(backend, id -> new long[2]);
+        add(backend, tries, failed, 60 * (tries - failed));
+    }
+
+    synchronized void add(String backend, long tries, long failed, long goodMs) {
+        long[] sum = sums.computeIfAbsent(backend, id -> new long[3]);
         sum[0] += tries;
         sum[1] += failed;
+        sum[2] += goodMs;
     }
 
     private void run() {
@@ -45,8 +59,8 @@
         for (Map.Entry<String, long[]> sum : sums.entrySet()) {
             socket.getOutputStream().write(Resp.encode(List.of("outcomes", "locality", zone, "endpoint",
                     sum.getKey(), "total", "" + sum.getValue()[0], "errors", "" + sum.getValue()[1], "rtt",
-                    "60.0", "interval", intervalMs + ".0", "metrics",
-                    "util:0.45,inflight:2,latency_ms:55")));
+                    "" + sum.getValue()[2] / (double) Math.max(1, sum.getValue()[0] - sum.getValue()[1]),
+                    "interval", intervalMs + ".0", "metrics", metrics.apply(sum.getKey()))));
         }
         sums.clear();
     }
--- a/review/standin-2/PlainProxy.java
+++ b/review/standin-2/PlainProxy.java
@@ -27,6 +27,8 @@
     private final List<String> classes;
     private final Set<String> listed;
     private final Random random;
+    /** By class: the level, the requests that may be let in by now, and when that was counted (ns). */
+    private final Map<String, double[]> levels = new HashMap<>();
     private final Map<String, TreeMap<String, Double>> tables = new LinkedHashMap<>();
     private final Set<String> shutOut = new TreeSet<>();
     private boolean cold = true;
@@ -214,6 +216,12 @@
             TreeMap<String, Double> table = tables.get(cls);
             if ("1".equals(part.get("full"))) {
                 table.clear();
+                levels.remove(cls);
+            }
+            if (part.containsKey("admit")) {
+                double rate = Double.parseDouble(part.get("admit"));
+                double[] level = levels.computeIfAbsent(cls, c -> new double[] {0, 1, System.nanoTime()});
+                level[0] = rate;
             }
             for (String line : part.containsKey("endpoints") ? part.get("endpoints").split(",")
                     : new String[0]) {
@@ -245,6 +253,20 @@
                 + shutOut;
     }
 
+    /** Whether the level of a class, in requests a second, lets another request in. */
+    synchronized boolean admits(String cls) {
+        double[] level = levels.get(cls);
+        if (level == null) {
+            return true;
+        }
+        long now = System.nanoTime();
+        level[1] = Math.min(Math.max(1, level[0] / 10), level[1] + (now - level[2]) / 1e9 * level[0]);
+        level[2] = now;
+        boolean admitted = level[1] >= 1;
+        level[1] -= admitted ? 1 : 0;
+        return admitted;
+    }
+
     /** A backend for a request of a class, drawn by weight; null if there is no line to pick. */
     String pick(String cls) {
         TreeMap<String, Double> lines = usableLines(cls);
