Second review: cases that the first one shows are dropped, two remain as 6 and 7

Cause: review/1 (also its VARIANT=away) and review/3 already show the faults of cases 6, 8 and 10 of part one.

Change: those three are removed with the stand-ins that only they used; cases 7 and 9 become 6 and 7.

--- a/review/7/Case7.java
+++ b/review/standin-2/Case6.java
@@ -8,7 +8,7 @@
  * Half of the backends are replaced in two steps, then a new configuration moves discovery to an agent that hears
  * everything later. Nobody may lack a backend for the class that keeps to the proxy's zone.
  */
-public final class Case7 {
+public final class Case6 {
 
     private static final int PROXIES = 6;
     private static final long BLACKHOLE_MS = 3000 + 300;
@@ -17,10 +17,10 @@
     private static final long LATE_MS = 3000;
     private static final List<String> CLASSES = List.of("read", "edit", "order");
 
-    private Case7() { }
+    private Case6() { }
 
     public static void main(String[] args) {
-        Rig.run(args, Case7::play);
+        Rig.run(args, Case6::play);
     }
 
     private static int play(Rig rig) throws Exception {
--- a/review/9/Case9.java
+++ b/review/standin-2/Case7.java
@@ -9,7 +9,7 @@
  * All backends of one hall are lost with its controller and come back cold; the other controller has all proxies.
  * The lines that wait in its channel may never be more than the settings allow.
  */
-public final class Case9 {
+public final class Case7 {
 
     private static final int PROXIES = 179;
     private static final int BACKENDS = 115;
@@ -21,10 +21,10 @@
     /** Requests a second of each class at one proxy: 950 of all. */
     private static final double[] RATES = {2.5, 1.9, 0.9};
 
-    private Case9() { }
+    private Case7() { }
 
     public static void main(String[] args) {
-        Rig.run(args, Case9::play);
+        Rig.run(args, Case7::play);
     }
 
     private static int play(Rig rig) throws Exception {
--- a/review/standin-2/PlainProxy.java
+++ b/review/standin-2/PlainProxy.java
@@ -27,13 +27,10 @@
     private final List<String> classes;
     private final Set<String> listed;
     private final Random random;
-    /** By class: the level, the requests that may be let in by now, and when that was counted (ns). */
-    private final Map<String, double[]> levels = new HashMap<>();
     private final Map<String, TreeMap<String, Double>> tables = new LinkedHashMap<>();
     private final Set<String> shutOut = new TreeSet<>();
     private boolean cold = true;
     private volatile int port;
-    private volatile boolean cutOff;
     private volatile boolean joined;
     private volatile long joinedAt;
     private volatile Socket socket;
@@ -77,19 +74,6 @@
         return joinedAt;
     }
 
-    /** From now on nothing reaches the proxy, and nothing of it reaches a controller; open connections are silent. */
-    synchronized void cut() {
-        cutOff = true;
-        joined = false;
-        stream++; // what is under way to it is lost
-    }
-
-    /** Ends {@link #cut}: the old connection is reset and the proxy dials again. */
-    void heal() throws IOException {
-        cutOff = false;
-        closeHard(socket);
-    }
-
     private static void closeHard(Socket which) {
         try {
             which.setSoLinger(true, 0);
@@ -101,9 +85,7 @@
 
     private void run() {
         while (true) {
-            if (!cutOff) {
-                serveStream();
-            }
+            serveStream();
             joined = false;
             List<Integer> ports = List.copyOf(channels.keySet());
             port = ports.get((ports.indexOf(port) + 1) % ports.size());
@@ -128,9 +110,6 @@
             List<Map<String, String>> parts = new ArrayList<>();
             while (true) {
                 List<String> words = Resp.read(in);
-                if (cutOff) {
-                    throw new IOException("cut off");
-                }
                 if (!words.get(0).equals("push")) {
                     throw new IOException("not a push: " + words);
                 }
@@ -153,9 +132,7 @@
             synchronized (this) {
                 stream++; // what is under way to it is lost
             }
-            if (!cutOff) {
-                closeHard(opened);
-            }
+            closeHard(opened);
         }
     }
 
@@ -173,7 +150,7 @@
     private void deliver(int number, List<Map<String, String>> message) {
         String mark = null;
         synchronized (this) {
-            if (number != stream || cutOff) {
+            if (number != stream) {
                 return; // the stream has broken meanwhile
             }
             for (Map<String, String> part : message) {
@@ -216,12 +193,6 @@
             TreeMap<String, Double> table = tables.get(cls);
             if ("1".equals(part.get("full"))) {
                 table.clear();
-                levels.remove(cls);
-            }
-            if (part.containsKey("admit")) {
-                double rate = Double.parseDouble(part.get("admit"));
-                double[] level = levels.computeIfAbsent(cls, c -> new double[] {0, 1, System.nanoTime()});
-                level[0] = rate;
             }
             for (String line : part.containsKey("endpoints") ? part.get("endpoints").split(",")
                     : new String[0]) {
@@ -253,36 +224,9 @@
                 + shutOut;
     }
 
-    /** Whether the level of a class, in requests a second, lets another request in. */
-    synchronized boolean admits(String cls) {
-        double[] level = levels.get(cls);
-        if (level == null) {
-            return true;
-        }
-        long now = System.nanoTime();
-        level[1] = Math.min(Math.max(1, level[0] / 10), level[1] + (now - level[2]) / 1e9 * level[0]);
-        level[2] = now;
-        boolean admitted = level[1] >= 1;
-        level[1] -= admitted ? 1 : 0;
-        return admitted;
-    }
-
-    /** A backend for a request of a class, drawn by weight; null if there is no line to pick. */
-    String pick(String cls) {
-        TreeMap<String, Double> lines = usableLines(cls);
-        double at = random.nextDouble() * lines.values().stream().mapToDouble(w -> w).sum();
-        for (Map.Entry<String, Double> line : lines.entrySet()) {
-            at -= line.getValue();
-            if (at <= 0) {
-                return line.getKey();
-            }
-        }
-        return lines.isEmpty() ? null : lines.lastKey();
-    }
-
     /** Reports on its stream, if that is up. */
     void demand(String cls, long total, double intervalMs) {
-        if (joined && !cutOff) {
+        if (joined) {
             try {
                 send("demand", "node", "" + node, "route", cls, "total", "" + total, "errors", "0", "interval",
                         "" + intervalMs);
@@ -293,8 +237,6 @@
     }
 
     private synchronized void send(String... words) throws IOException {
-        if (!cutOff) {
-            socket.getOutputStream().write(Resp.encode(List.of(words)));
-        }
+        socket.getOutputStream().write(Resp.encode(List.of(words)));
     }
 }
--- a/review/standin-2/Reports.java
+++ b/review/standin-2/Reports.java
@@ -22,9 +22,11 @@
     private final Map<String, Long> reportedAt = new HashMap<>();
     private final Map<String, Socket> sockets = new HashMap<>();
     private int next;
+    private final List<String> zones;
 
     Reports(int port, List<PlainProxy> proxies, Discovery discovery, List<String> classes, double[] ratePerProxy,
             int linesPerInterval, long intervalMs, String metrics) {
+        this.zones = discovery.entries().stream().map(e -> e.zone).distinct().toList();
         this.port = port;
         this.proxies = proxies;
         this.discovery = discovery;
@@ -49,14 +51,15 @@
     }
 
     private void report() throws IOException {
-        for (String zone : List.of("hall-a", "hall-b")) {
+        for (String zone : zones) {
             if (!sockets.containsKey(zone)) {
                 Socket socket = new Socket(Rig.HOST, port);
                 socket.getOutputStream().write(Resp.encode(List.of("agent", "locality", zone)));
                 sockets.put(zone, socket);
             }
         }
-        Map<String, TreeMap<String, Double>> rates = Map.of("hall-a", new TreeMap<>(), "hall-b", new TreeMap<>());
+        Map<String, TreeMap<String, Double>> rates = new HashMap<>();
+        zones.forEach(zone -> rates.put(zone, new TreeMap<>()));
         List<PlainProxy> joined = proxies.stream().filter(p -> p.isJoined() && p.controller() == port).toList();
         for (PlainProxy proxy : joined) {
             for (int c = 0; c < classes.size(); c++) {
@@ -67,13 +70,14 @@
             }
         }
         List<Discovery.Entry> entries = discovery.entries();
-        int kinds = 2 * entries.size() + classes.size() * proxies.size();
+        int outcomes = zones.size() * entries.size();
+        int kinds = outcomes + classes.size() * proxies.size();
         for (int left = linesPerInterval, tried = 0; left > 0 && tried < kinds; tried++) {
             int line = next;
             next = (next + 1) % kinds;
-            if (line < 2 * entries.size()) {
-                String zone = line % 2 == 0 ? "hall-a" : "hall-b";
-                Discovery.Entry entry = entries.get(line / 2);
+            if (line < outcomes) {
+                String zone = zones.get(line % zones.size());
+                Discovery.Entry entry = entries.get(line / zones.size());
                 double seconds = secondsSince("o" + line);
                 long tries = Math.round(rates.get(zone).getOrDefault(entry.id, 0.0) * seconds);
                 if (tries > 0) {
@@ -81,8 +85,8 @@
                     left--;
                 }
             } else {
-                int c = (line - 2 * entries.size()) % classes.size();
-                PlainProxy proxy = proxies.get((line - 2 * entries.size()) / classes.size());
+                int c = (line - outcomes) % classes.size();
+                PlainProxy proxy = proxies.get((line - outcomes) / classes.size());
                 double seconds = secondsSince("d" + line);
                 long total = Math.round(ratePerProxy[c] * seconds);
                 if (joined.contains(proxy) && total > 0) {
