--- a/review/standin-2/Case7.java
+++ b/review/standin-2/Case7.java
@@ -17,6 +17,7 @@
     private static final double MOST_WAITING = 3600;
     private static final int REPORT_LINES = 150; // in half a second
     private static final long LATE_MS = 250;
+    private static final long LISTED_AFTER_MS = 1000;
     private static final List<String> CLASSES = List.of("read", "edit", "order");
     /** Requests a second of each class at one proxy: 950 of all. */
     private static final double[] RATES = {2.5, 1.9, 0.9};
@@ -31,8 +32,9 @@
         Discovery discovery = new Discovery(rig);
         Set<String> listed = new TreeSet<>();
         List<Discovery.Entry> lost = new ArrayList<>();
+        int unused = Rig.freePort(); // nobody connects to a backend here: no probes, and sums instead of requests
         for (int i = 0; i < BACKENDS; i++) {
-            Discovery.Entry entry = new Discovery.Entry(String.format("s-%03d", i), 9, i % 2 == 0 ? "hall-a"
+            Discovery.Entry entry = new Discovery.Entry(String.format("s-%03d", i), unused, i % 2 == 0 ? "hall-a"
                     : "hall-b", i % 20 < 11 ? "std" : "wide");
             listed.add(entry.id);
             discovery.add(entry);
@@ -88,14 +90,15 @@
             rig.sleepUntil(begun + 16500);
             discovery.set(lost, "terminated", 0);
             rig.sleepUntil(begun + 30000);
-            rig.startController("n1", ports[0], discovery.port(), discovery.whole(), settings);
-            discovery.set(lost, "in_service", System.currentTimeMillis());
+            controllers[0] = rig.startController("n1", ports[0], discovery.port(), discovery.whole(), settings);
+            discovery.set(lost, "in_service", System.currentTimeMillis() - LISTED_AFTER_MS);
         }
         rig.sleepUntil(begun + 50000);
         rig.note("longest message " + proxies.stream().mapToDouble(p -> p.mostAtOnce).max().orElse(0));
         if (proxies.stream().anyMatch(p -> p.resets > 0)) {
             rig.note("a proxy could not use an order");
         }
+        rig.requireAlive(List.of(controllers), proxies);
         double most = Math.max(channels[0].mostWaiting(), channels[1].mostWaiting());
         return rig.verdict(most > MOST_WAITING, "most lines that waited in a channel: " + most + ", limit "
                 + MOST_WAITING);
--- a/review/standin-2/PlainProxy.java
+++ b/review/standin-2/PlainProxy.java
@@ -105,6 +105,7 @@
             }
             send("hello", "node", "" + node, "locality", zone, "w", "5.0", "cold", cold ? "1" : "0");
             joinedAt = rig.ms();
+            rig.note("proxy " + node + " joins at " + port);
             joined = true;
             DataInputStream in = new DataInputStream(new BufferedInputStream(opened.getInputStream()));
             List<Map<String, String>> parts = new ArrayList<>();
@@ -123,7 +124,8 @@
                     parts.clear();
                     double lines = head + message.stream().mapToDouble(PlainProxy::lines).sum();
                     mostAtOnce = Math.max(mostAtOnce, lines);
-                    channels.get(port).enter(lines, () -> deliver(number, message));
+                    double waiting = channels.get(port).enter(lines, () -> deliver(number, message));
+                    rig.note("proxy " + node + " is sent " + lines + " lines, " + waiting + " wait: " + message);
                 }
             }
         } catch (IOException e) {
@@ -167,6 +169,7 @@
         }
         if (mark != null) {
             try {
+                rig.note("proxy " + node + " answers mark " + mark);
                 send("ack", "node", "" + node, "nonce", mark, "latency", "200.0");
             } catch (IOException e) {
                 // the reader dials again
@@ -224,6 +227,19 @@
                 + shutOut;
     }
 
+    /** A backend for a request of a class, drawn by weight; null if there is no line to pick. */
+    String pick(String cls) {
+        TreeMap<String, Double> lines = usableLines(cls);
+        double at = random.nextDouble() * lines.values().stream().mapToDouble(w -> w).sum();
+        for (Map.Entry<String, Double> line : lines.entrySet()) {
+            at -= line.getValue();
+            if (at <= 0) {
+                return line.getKey();
+            }
+        }
+        return lines.isEmpty() ? null : lines.lastKey();
+    }
+
     /** Reports on its stream, if that is up. */
     void demand(String cls, long total, double intervalMs) {
         if (joined) {
--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -50,7 +50,10 @@
         note("disruption: " + (trouble ? "yes" : "no"));
     }
 
-    /** Plays a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+    /** Exit code of a broken rule; not 1, with which a JVM ends that cannot start. run.sh makes 1 of it. */
+    private static final int BROKEN = 10;
+
+    /** Plays a case and ends the process: BROKEN if the rule was broken, 0 if it held, 2 if the case could not run. */
     static void run(String[] args, Play play) {
         int code;
         try (Rig rig = new Rig(args)) {
@@ -172,11 +175,22 @@
         }
     }
 
-    /** Ends the case: exit code 1 if the rule was broken, else 0. */
+    /** A case whose controllers or proxies are not there at its end has shown nothing. */
+    void requireAlive(List<Process> controllers, List<PlainProxy> proxies) {
+        if (controllers.stream().anyMatch(c -> !c.isAlive())) {
+            throw new CannotRun("a controller that the case did not end is gone");
+        }
+        long away = proxies.stream().filter(p -> !p.isJoined()).count();
+        if (away > 0) {
+            throw new CannotRun(away + " proxies have not joined at the end");
+        }
+    }
+
+    /** Ends the case: exit code BROKEN if the rule was broken, else 0. */
     int verdict(boolean broken, String line) {
         note((broken ? "BROKEN: " : "held: ") + line);
         System.out.println((broken ? "BROKEN: " : "held: ") + line);
-        return broken ? 1 : 0;
+        return broken ? BROKEN : 0;
     }
 
     /** Ends what was started and copies the controllers' logs into the record. */
